The leader's processor time at 350 workers; starts beyond the limit are sent

Change: plans look at the allowed workers only, a wish is made only where nothing is asked, runs carry what plans need, the leader doesn't read its own batch again, the log is written in blocks of 200 ms, channels tick every 50 ms, the socket of a pooled connection is made non-blocking once. The rest of a gang is stopped when a member is rejected. Tests: TheRestOfAGangIsStoppedWhenOneMemberIsRejected, StartsBeyondTheLimitWaitForAnAnswer (failed before the mend).

--- a/daemon/src/jobd_main.cc
+++ b/daemon/src/jobd_main.cc
@@ -3,6 +3,7 @@
 // leads. Reads its settings, builds the services that they ask for, and runs
 // until SIGTERM or SIGINT.
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 
 #include "cluster/client.h"
@@ -44,6 +46,7 @@
 using sas::telemetry::LogLevel;
 
 constexpr std::string_view kVersion = "sassafras-jobd 0.1.0";
+constexpr auto kLogPeriod = std::chrono::milliseconds(200);
 constexpr int kExitUsage = 2;
 constexpr int kExitFailed = 1;
 
@@ -61,6 +64,7 @@
   sas::telemetry::LogReason why;
   log_options.file = settings.log.file;
   log_options.uses_stdout = true;
+  log_options.is_buffered = true;
   const bool is_started = sas::telemetry::ParseLogLevel(
                               settings.log.level, log_options.level, why) &&
                           sas::telemetry::StartLogging(log_options, why);
@@ -182,12 +186,24 @@
   });
 }
 
+void FlushLogs(boost::asio::steady_timer& timer) {
+  sas::telemetry::FlushLog();
+  timer.expires_after(kLogPeriod);
+  timer.async_wait([&timer](auto ec) {
+    if (!ec) {
+      FlushLogs(timer);
+    }
+  });
+}
+
 int Run(const Settings& settings, const std::string& path) {
   Process process(settings);
   AddServices(process);
   boost::asio::signal_set signals(process.kernel->control(), SIGTERM, SIGINT,
                                   SIGHUP);
   WatchSignals(signals, process, path);
+  boost::asio::steady_timer log_timer(process.kernel->control());
+  FlushLogs(log_timer);
   Decision("begin")
       .With("name", settings.process.name)
       .With("zone", settings.process.zone)
@@ -200,6 +216,7 @@
     Log(LogLevel::kError, why.message);
     std::cerr << why.message << "\n";
   }
+  sas::telemetry::FlushLog();
   return is_ok ? EXIT_SUCCESS : kExitFailed;
 }
 
--- a/libs/http/src/upstream_pool.cc
+++ b/libs/http/src/upstream_pool.cc
@@ -50,7 +50,6 @@
   // the upstream has closed it or isn't in step.
   bool IsQuiet() {
     error_code ec;
-    socket->non_blocking(true, ec);
     char byte = 0;
     socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
     return ec == asio::error::would_block;
@@ -214,6 +213,7 @@
       co_return nullptr;
     }
     connection->socket->set_option(tcp::no_delay(true), ec);
+    connection->socket->non_blocking(true, ec);  // for IsQuiet
     co_return connection;
   }
 
--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -109,6 +109,7 @@
                     const jobs::OrderReply& reply);
   void OnHoldReply(const jobs::WorkerBoot& boot, const jobs::HoldReply& reply);
   void AddEnd(jobs::EndRun end);
+  void StopRestOfGang(const jobs::EndRun& end);
   jobs::WorkerSession* FindSession(const jobs::WorkerBoot& boot);
   void PaceFillers(jobs::WorkerSession& session);
   void StopLaggards(jobs::WorkerSession& session);
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -178,12 +178,18 @@
   std::string Snapshot() override { return table_.Snapshot(); }
 
   void Apply(const consensus::Record& record) override {
-    wire::CodecReason why;
-    const auto batch = wire::DecodeCbor<jobs::Batch>(record.payload, why);
-    if (!batch) {
-      Log(LogLevel::kError, "a record can't be read: " + why.message);
-      return;
+    std::optional<jobs::Batch> batch;
+    if (proposed_bytes_ == record.payload) {
+      batch = std::exchange(proposed_, {});  // needn't be read again
+    } else {
+      wire::CodecReason why;
+      batch = wire::DecodeCbor<jobs::Batch>(record.payload, why);
+      if (!batch) {
+        Log(LogLevel::kError, "a record can't be read: " + why.message);
+        return;
+      }
     }
+    proposed_bytes_.clear();
     jobs::Changes changes = table_.Apply(*batch);
     const auto append = [](auto& to, auto& from) {
       std::ranges::move(from, std::back_inserter(to));
@@ -226,7 +232,9 @@
   const jobs::JobTable& table() const override { return table_; }
 
   void Record(const jobs::Batch& batch, RecordedDone done) override {
-    driver_->Propose(wire::EncodeCbor(batch),
+    proposed_bytes_ = wire::EncodeCbor(batch);
+    proposed_ = batch;
+    driver_->Propose(proposed_bytes_,
                      [done = std::move(done)](const consensus::Resolved& it) {
                        using enum consensus::Outcome;
                        done(it.outcome == kCommitted ? Recorded::kYes
@@ -524,6 +532,10 @@
   jobs::JobTable table_;
   jobs::Changes changes_;  // of records that the leader wasn't told of yet
   bool has_changes_ = false;
+  // The batch that this leader proposed last, and its record; empty once
+  // another record was applied.
+  jobs::Batch proposed_;
+  std::string proposed_bytes_;
   bool is_leading_ = false;
   std::shared_ptr<Leader> leader_;  // while this replica leads
   base::Instant last_role_change_;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -438,7 +438,36 @@
   scheduler_.OnEnd(end, host_.Now());
   progress_.OnEnd(end.task, end.run, end.how == jobs::RunEnd::kDone,
                   host_.Now());
-  batch_.ends.push_back(std::move(end));
+  const bool is_rejected = end.how == jobs::RunEnd::kRejected;
+  batch_.ends.push_back(end);
+  if (is_rejected) {
+    StopRestOfGang(end);
+  }
+}
+
+// The other members would only wait for one that doesn't come.
+void Leader::StopRestOfGang(const jobs::EndRun& end) {
+  const jobs::StepSpec* spec = SpecOf(end.task);
+  const jobs::JobRecord* job = host_.table().FindJob(end.task.step.job);
+  if (spec == nullptr || !spec->is_gang ||
+      job->phase != jobs::JobPhase::kActive) {
+    return;
+  }
+  for (auto& session : sessions_ | std::views::values) {
+    const jobs::WorkerRecord* record =
+        host_.table().FindWorker(session.boot().id);
+    for (const jobs::OpenRun& run : record->runs) {
+      const bool is_member = run.run == end.run &&
+                             run.task.step == end.task.step &&
+                             run.task != end.task;
+      if (!is_member) {
+        continue;
+      }
+      if (auto stopped = session.Stop(run.task, run.run)) {
+        batch_.ends.push_back(*std::move(stopped));
+      }
+    }
+  }
 }
 
 const jobs::StepSpec* Leader::SpecOf(const jobs::TaskKey& task) const {
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -254,6 +254,29 @@
   EXPECT_TRUE(host_.table().FindJob(wire::JobId("j"))->FindTask(task)->is_open);
 }
 
+// The load pattern: one member of a gang is refused for want of a ticket.
+TEST_F(LeaderTest, TheRestOfAGangIsStoppedWhenOneMemberIsRejected) {
+  AddWorker("w");
+  AddWorker("v");
+  host_.AnswerHolds({});
+  jobs::StepSpec gang;
+  gang.count = 2;
+  gang.is_gang = true;
+  gang.need.cpu_milli = 4000;
+  host_.leader->Submit({wire::JobId("g"), jobs::QueueId("q"), {"", {gang}}},
+                       [](Recorded) {});
+  host_.Commit();
+  ASSERT_EQ(host_.orders.size(), 2U);
+  auto orders = std::exchange(host_.orders, {});
+  orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  orders[1].done({jobs::OrderResult::kNoTicket, std::nullopt});
+  host_.Advance(milliseconds(1));
+  ASSERT_EQ(host_.orders.size(), 1U);
+  EXPECT_TRUE(
+      std::holds_alternative<jobs::StopOrder>(host_.orders[0].call.order));
+  EXPECT_EQ(host_.orders[0].worker.boot.id, orders[0].worker.boot.id);
+}
+
 TEST_F(LeaderTest, ARejectedStartIsTriedAgain) {
   AddWorker("w");
   host_.AnswerHolds({});
--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -61,6 +61,12 @@
                             const WorkerBoot& worker,
                             base::Instant now) const;
 
+  // The workers that may run `step` by tickets that stay valid for a moment.
+  std::vector<WorkerBoot> Allowed(const StepKey& step, base::Instant now) const;
+
+  // Whether a question about the step is on its way.
+  bool IsAsked(const StepKey& step) const;
+
   // Picks questions for `wishes`, which are in the order of urgency, and marks
   // them as asked. `hosts`: those that can ask now.
   std::vector<Asking> Ask(std::span<const AdviceWish> wishes,
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -89,8 +89,18 @@
   TaskKey task;
   uint64_t run = 0;
   Resources charge;
+  // Of its step, so that plans needn't look it up.
+  bool is_filler = false;
+  bool is_served = false;   // its users have a latency target
+  bool is_limited = false;  // only so many of the step run on one worker
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OpenRun, task, run, charge)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OpenRun,
+                                                task,
+                                                run,
+                                                charge,
+                                                is_filler,
+                                                is_served,
+                                                is_limited)
 
 struct WorkerRecord {
   WorkerInfo info;
--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -61,6 +61,8 @@
 
   // What a task takes of a worker's capacity.
   Resources Charge() const;
+  // Whether its users have a latency target, which fillers could endanger.
+  bool IsServed() const { return is_lasting && target_latency_ms > 0; }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepSpec,
                                                 count,
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -190,6 +190,7 @@
   WorkerLease lease_;
   std::map<RunKey, RunState> runs_;
   std::vector<PaceOrder> paces_;  // to be sent
+  bool may_have_due_ = false;     // some run may need an order
   std::map<uint64_t, InFlight> in_flight_;
   uint64_t last_call_ = 0;
 
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -41,6 +41,26 @@
   return is_valid ? &it->second.ticket : nullptr;
 }
 
+std::vector<WorkerBoot> AdviceBook::Allowed(const StepKey& step,
+                                            base::Instant now) const {
+  std::vector<WorkerBoot> allowed;
+  const auto known = steps_.find(step);
+  if (known == steps_.end()) {
+    return allowed;
+  }
+  for (const WorkerPermit& it : known->second.allowed | std::views::values) {
+    if (now < it.valid_until) {
+      allowed.push_back(it.worker);
+    }
+  }
+  return allowed;
+}
+
+bool AdviceBook::IsAsked(const StepKey& step) const {
+  const auto it = steps_.find(step);
+  return it != steps_.end() && it->second.is_asked;
+}
+
 std::vector<Asking> AdviceBook::Ask(std::span<const AdviceWish> wishes,
                                     std::span<const wire::EntryId> hosts,
                                     base::Instant now) {
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -376,8 +376,10 @@
   task.is_open = true;
   ++step->open;
   job->second.has_started = true;
-  worker->second.runs.push_back(
-      {start.task, start.run, spec.steps[position].Charge()});
+  const StepSpec& step_spec = spec.steps[position];
+  worker->second.runs.push_back({start.task, start.run, step_spec.Charge(),
+                                 step_spec.is_filler, step_spec.IsServed(),
+                                 step_spec.max_per_worker > 0});
   return true;
 }
 
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -19,6 +19,8 @@
 // Past this many times its objective a job has no value to its caller, and
 // waits behind those that have.
 constexpr double kLateLimit = 3;
+// Workers named in one wish for advice.
+constexpr size_t kMaxCandidates = 50;
 
 // One worker while a plan is made.
 struct Candidate {
@@ -27,8 +29,8 @@
   bool is_suspect = false;   // failed what it ran last
   bool is_reserved = false;  // for work that ranks before what comes now
   bool has_fillers = false;
-  bool has_served = false;  // lasting tasks with users of their own
-  std::map<StepKey, uint32_t> of_step;
+  bool has_served = false;              // lasting tasks with users of their own
+  std::map<StepKey, uint32_t> of_step;  // of steps with a limit
 
   const WorkerBoot& boot() const { return record->info.boot; }
   bool HasLabel(const std::string& label) const {
@@ -37,6 +39,8 @@
   }
 };
 
+using Pool = std::vector<Candidate*>;
+
 // A step with tasks to start, in the order in which it is served.
 struct WaitingStep {
   const JobRecord* job = nullptr;
@@ -52,10 +56,6 @@
   }
 };
 
-bool IsServed(const StepSpec& spec) {
-  return spec.is_lasting && spec.target_latency_ms > 0;
-}
-
 bool IsReady(const JobSpec& spec,
              const std::vector<StepRecord>& steps,
              uint32_t step) {
@@ -113,6 +113,11 @@
         workers_[record.info.service].push_back(MakeCandidate(record));
       }
     }
+    for (auto& pool : workers_ | std::views::values) {
+      for (Candidate& worker : pool) {
+        by_id_.emplace(worker.boot().id, &worker);
+      }
+    }
   }
 
   Candidate MakeCandidate(const WorkerRecord& record) const {
@@ -122,20 +127,15 @@
     candidate.is_suspect = memory_.health.IsSuspect(record.info.boot);
     for (const OpenRun& run : record.runs) {
       candidate.room -= run.charge;
-      ++candidate.of_step[run.task.step];
-      const JobRecord* job = table_.FindJob(run.task.step.job);
-      if (job != nullptr) {
-        Mark(candidate, job->spec.steps[run.task.step.step]);
+      candidate.has_fillers |= run.is_filler;
+      candidate.has_served |= run.is_served;
+      if (run.is_limited) {
+        ++candidate.of_step[run.task.step];
       }
     }
     return candidate;
   }
 
-  static void Mark(Candidate& candidate, const StepSpec& spec) {
-    candidate.has_fillers |= spec.is_filler;
-    candidate.has_served |= IsServed(spec);
-  }
-
   void CollectSteps() {
     for (const wire::JobId& id : table_.active() | std::views::values) {
       const JobRecord& job = *table_.FindJob(id);
@@ -184,31 +184,60 @@
   }
 
   void Place(const WaitingStep& step) {
-    auto& pool = workers_[step.queue->service];
+    const Pool able = AbleWorkers(step);
     const size_t before = plan_.starts.size();
     if (step.spec->is_gang) {
-      PlaceGang(step, pool);
+      PlaceGang(step, able);
     } else {
-      PlaceTasks(step, pool);
+      PlaceTasks(step, able);
     }
     const size_t wanted =
         step.record->tasks.size() - step.record->done - step.record->open;
-    const bool is_short = plan_.starts.size() - before < wanted;
-    if (is_short && IsHardToPlace(step, pool)) {
-      Reserve(step, pool);
+    if (plan_.starts.size() - before >= wanted) {
+      return;
     }
-    if (is_short && step.queue->advice.is_required) {
-      Wish(step, pool);
+    if (!able.empty() && IsHardToPlace(step, able)) {
+      Reserve(step, able);
+    }
+    if (step.queue->advice.is_required && !advice_.IsAsked(step.key)) {
+      Wish(step);
     }
   }
 
-  void PlaceTasks(const WaitingStep& step, std::vector<Candidate>& pool) {
+  // The workers that may run the step, and could if they were empty.
+  Pool AbleWorkers(const WaitingStep& step) {
+    Pool able;
+    if (step.queue->advice.is_required) {
+      for (const WorkerBoot& boot : advice_.Allowed(step.key, now_)) {
+        const auto it = by_id_.find(boot.id);
+        if (it != by_id_.end() && it->second->boot() == boot) {
+          able.push_back(it->second);
+        }
+      }
+    } else {
+      able = PoolOf(step);
+    }
+    std::erase_if(able, [&](const Candidate* worker) {
+      return !IsEligible(step, *worker);
+    });
+    return able;
+  }
+
+  Pool PoolOf(const WaitingStep& step) {
+    Pool pool;
+    for (Candidate& worker : workers_[step.queue->service]) {
+      pool.push_back(&worker);
+    }
+    return pool;
+  }
+
+  void PlaceTasks(const WaitingStep& step, const Pool& able) {
     for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
       const TaskRecord& task = step.record->tasks[n];
       if (task.is_done || task.is_open) {
         continue;
       }
-      Candidate* worker = Choose(step, {step.key, n}, pool);
+      Candidate* worker = Choose(step, {step.key, n}, able);
       if (worker == nullptr) {
         return;
       }
@@ -219,40 +248,43 @@
 
   // All members, or none; within one rack where the members need that and a
   // rack has room.
-  void PlaceGang(const WaitingStep& step, std::vector<Candidate>& pool) {
+  void PlaceGang(const WaitingStep& step, const Pool& able) {
     if (step.spec->is_rack_local) {
-      for (const std::string& rack : RacksOf(pool)) {
-        if (TryGang(step, pool, rack)) {
+      for (const std::string& rack : RacksOf(able)) {
+        if (TryGang(step, able, rack)) {
           return;
         }
       }
     }
-    TryGang(step, pool, "");
+    TryGang(step, able, "");
   }
 
-  static std::set<std::string> RacksOf(const std::vector<Candidate>& pool) {
+  static std::set<std::string> RacksOf(const Pool& able) {
     std::set<std::string> racks;
-    for (const Candidate& it : pool) {
-      racks.insert(it.record->info.rack);
+    for (const Candidate* it : able) {
+      racks.insert(it->record->info.rack);
     }
     return racks;
   }
 
   bool TryGang(const WaitingStep& step,
-               std::vector<Candidate>& pool,
+               const Pool& able,
                const std::string& rack) {
-    const std::vector<Candidate> untouched = pool;
+    std::vector<std::pair<Candidate*, Candidate>> untouched;
     std::vector<StartRun> starts;
     uint64_t run = 0;
     for (const TaskRecord& task : step.record->tasks) {
       run = std::max(run, task.run);
     }
     for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
-      Candidate* worker = Choose(step, {step.key, n}, pool, rack);
+      Candidate* worker = Choose(step, {step.key, n}, able, rack);
       if (worker == nullptr) {
-        pool = untouched;
+        for (auto& [it, before] : untouched | std::views::reverse) {
+          *it = std::move(before);
+        }
         return false;
       }
+      untouched.emplace_back(worker, *worker);
       Take(step, *worker);
       starts.push_back({{step.key, n}, run + 1, worker->boot()});
     }
@@ -262,8 +294,11 @@
 
   static void Take(const WaitingStep& step, Candidate& worker) {
     worker.room -= step.spec->Charge();
-    ++worker.of_step[step.key];
-    Mark(worker, *step.spec);
+    worker.has_fillers |= step.spec->is_filler;
+    worker.has_served |= step.spec->IsServed();
+    if (step.spec->max_per_worker > 0) {
+      ++worker.of_step[step.key];
+    }
   }
 
   // Whether the worker could run the step if it were empty.
@@ -277,14 +312,11 @@
     if (worker.is_reserved || !step.spec->Charge().Fits(worker.room)) {
       return false;
     }
+    if (step.spec->max_per_worker == 0) {
+      return true;
+    }
     const auto it = worker.of_step.find(step.key);
-    const uint32_t there = it == worker.of_step.end() ? 0 : it->second;
-    return step.spec->max_per_worker == 0 || there < step.spec->max_per_worker;
-  }
-
-  bool IsAllowed(const WaitingStep& step, const Candidate& worker) const {
-    return !step.queue->advice.is_required ||
-           advice_.Ticket(step.key, worker.boot(), now_) != nullptr;
+    return it == worker.of_step.end() || it->second < step.spec->max_per_worker;
   }
 
   bool HasFailedOn(const TaskKey& task, const Candidate& worker) const {
@@ -303,7 +335,7 @@
     const bool is_far = !step.spec->data_rack.empty() &&
                         worker.record->info.rack != step.spec->data_rack;
     const bool is_disturbed = (step.spec->is_filler && worker.has_served) ||
-                              (IsServed(*step.spec) && worker.has_fillers);
+                              (step.spec->IsServed() && worker.has_fillers);
     const int64_t accelerators_left =
         worker.room.accelerators - step.spec->need.accelerators;
     return std::tuple(worker.is_suspect, is_disturbed, is_far,
@@ -312,18 +344,17 @@
 
   Candidate* Choose(const WaitingStep& step,
                     const TaskKey& task,
-                    std::vector<Candidate>& pool,
+                    const Pool& able,
                     const std::string& rack = "") const {
     const auto cost_of = [&](const Candidate& worker) {
       return std::pair(HasFailedOn(task, worker), Cost(step, worker));
     };
     Candidate* best = nullptr;
-    for (Candidate& worker : pool) {
-      const bool fits = IsEligible(step, worker) && HasRoom(step, worker) &&
-                        (rack.empty() || worker.record->info.rack == rack) &&
-                        IsAllowed(step, worker);
-      if (fits && (best == nullptr || cost_of(worker) < cost_of(*best))) {
-        best = &worker;
+    for (Candidate* worker : able) {
+      const bool fits = HasRoom(step, *worker) &&
+                        (rack.empty() || worker->record->info.rack == rack);
+      if (fits && (best == nullptr || cost_of(*worker) < cost_of(*best))) {
+        best = worker;
       }
     }
     return best;
@@ -331,30 +362,24 @@
 
   // Smaller work would fill every gap before a gang, or a task that takes most
   // of a worker, finds one.
-  static bool IsHardToPlace(const WaitingStep& step,
-                            const std::vector<Candidate>& pool) {
+  static bool IsHardToPlace(const WaitingStep& step, const Pool& able) {
     return step.spec->is_gang ||
-           std::ranges::none_of(pool, [&](const Candidate& worker) {
+           std::ranges::none_of(able, [&](const Candidate* worker) {
              Resources twice = step.spec->Charge();
              twice += step.spec->Charge();
-             return twice.Fits(worker.record->info.capacity);
+             return twice.Fits(worker->record->info.capacity);
            });
   }
 
   // Keeps what ranks behind the step off the workers that will have room for
   // it soonest. At most half of the pool is kept.
-  void Reserve(const WaitingStep& step, std::vector<Candidate>& pool) {
-    std::vector<Candidate*> able;
-    for (Candidate& worker : pool) {
-      if (IsEligible(step, worker) && IsAllowed(step, worker)) {
-        able.push_back(&worker);
-      }
-    }
+  void Reserve(const WaitingStep& step, Pool able) {
+    const auto& pool = workers_[step.queue->service];
     std::ranges::sort(able, std::greater(), [](const Candidate* worker) {
       return std::tuple(worker->is_reserved, worker->room.accelerators,
                         worker->room.cpu_milli);
     });
-    size_t kept = static_cast<size_t>(
+    auto kept = static_cast<size_t>(
         std::ranges::count(pool, true, &Candidate::is_reserved));
     size_t missing = step.record->tasks.size();
     for (Candidate* worker : able) {
@@ -378,20 +403,25 @@
     return members;
   }
 
-  void Wish(const WaitingStep& step, const std::vector<Candidate>& pool) {
-    std::vector<const Candidate*> able;
-    for (const Candidate& worker : pool) {
-      if (IsEligible(step, worker)) {
-        able.push_back(&worker);
+  void Wish(const WaitingStep& step) {
+    using Ranked = std::pair<decltype(std::tuple_cat(std::tuple(false),
+                                                     Cost(step, Candidate()))),
+                             const Candidate*>;
+    std::vector<Ranked> able;
+    for (const Candidate* worker : PoolOf(step)) {
+      if (IsEligible(step, *worker)) {
+        able.emplace_back(std::tuple_cat(std::tuple(!HasRoom(step, *worker)),
+                                         Cost(step, *worker)),
+                          worker);
       }
     }
-    std::ranges::sort(able, {}, [&](const Candidate* worker) {
-      return std::tuple(!HasRoom(step, *worker), Cost(step, *worker));
-    });
+    const size_t named = std::min(able.size(), kMaxCandidates);
+    std::ranges::partial_sort(able, able.begin() + static_cast<long>(named));
+    able.resize(named);
     AdviceWish wish{step.key, step.queue->advice, {}, false};
-    for (const Candidate* worker : able) {
+    for (const auto& [rank, worker] : able) {
       wish.candidates.push_back(worker->boot());
-      wish.has_room |= HasRoom(step, *worker);
+      wish.has_room |= !std::get<0>(rank);
     }
     plan_.wishes.push_back(std::move(wish));
   }
@@ -401,6 +431,7 @@
   const Memory& memory_;
   const base::Instant now_;
   std::map<wire::ServiceId, std::vector<Candidate>> workers_;
+  std::map<wire::WorkerId, Candidate*> by_id_;  // into `workers_`
   std::vector<WaitingStep> steps_;
   Plan plan_;
 };
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -53,6 +53,7 @@
   const RunKey key(order.task, order.run);
   state.order = std::move(order);
   runs_.insert_or_assign(key, std::move(state));
+  may_have_due_ = true;
 }
 
 std::optional<EndRun> WorkerSession::Stop(const TaskKey& task, uint64_t run) {
@@ -67,6 +68,7 @@
   if (state.phase != Phase::kStopped) {
     state.phase = Phase::kStopping;
     state.next_try = {};
+    may_have_due_ = true;
   }
   return std::nullopt;
 }
@@ -77,7 +79,7 @@
 
 std::vector<OrderCall> WorkerSession::TakeOrders(base::Instant now) {
   std::vector<OrderCall> calls;
-  if (!is_heard_) {
+  if (!is_heard_ || (!may_have_due_ && paces_.empty())) {
     return calls;
   }
   const auto take = [&](Order order, InFlight what) {
@@ -86,11 +88,14 @@
     in_flight_.emplace(++last_call_, std::move(what));
     calls.push_back({last_call_, std::move(order), until.value_or(0)});
   };
+  may_have_due_ = false;
   for (auto& [key, state] : runs_) {
     const bool is_due = state.phase == Phase::kQueued ||
                         state.phase == Phase::kStarting ||
                         state.phase == Phase::kStopping;
+    may_have_due_ |= is_due;
     if (in_flight_.size() >= kMaxOrdersInFlight) {
+      may_have_due_ = true;
       return calls;
     }
     if (is_due && !state.is_in_flight && now >= state.next_try) {
@@ -178,6 +183,7 @@
   // An earlier try may still be carried out: a stop rules that out.
   state.phase = Phase::kStopping;
   state.next_try = now;
+  may_have_due_ = true;
   return std::nullopt;
 }
 
@@ -247,6 +253,7 @@
     // Nobody's run: an order to an earlier boot, or one that was given up.
     if (!runs_.contains(key)) {
       runs_[key].phase = Phase::kStopping;
+      may_have_due_ = true;
     }
   }
   std::vector<RunKey> closed;
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -195,6 +195,40 @@
   EXPECT_TRUE(std::holds_alternative<StopOrder>(calls[0].order));
 }
 
+// The load pattern: a wide step starts on one worker at once.
+TEST_F(WorkerSessionTest, EveryStartIsSentThoughFewAreInFlight) {
+  Look(0);
+  for (uint32_t n = 0; n < 10; ++n) {
+    session_->Start({Task("j", 0, n), 1, "text"});
+  }
+  size_t sent = 0;
+  for (int64_t ms = 1; ms < 50; ++ms) {
+    const auto calls = session_->TakeOrders(At(ms));
+    // While the limit is reached, asking again must not lose what waits.
+    EXPECT_TRUE(calls.size() < 3 || session_->TakeOrders(At(ms)).empty());
+    for (const OrderCall& call : calls) {
+      ++sent;
+      Reply(call, OrderResult::kAccepted, ms);
+    }
+  }
+  EXPECT_EQ(sent, 10U);
+}
+
+TEST_F(WorkerSessionTest, StartsBeyondTheLimitWaitForAnAnswer) {
+  Look(0);
+  for (uint32_t n = 0; n < 5; ++n) {
+    session_->Start({Task("j", 0, n), 1, "text"});
+  }
+  auto calls = session_->TakeOrders(At(1));
+  ASSERT_EQ(calls.size(), 3U);
+  EXPECT_TRUE(session_->TakeOrders(At(2)).empty());
+  EXPECT_TRUE(session_->TakeOrders(At(3)).empty());
+  for (const OrderCall& call : calls) {
+    Reply(call, OrderResult::kAccepted, 4);
+  }
+  EXPECT_EQ(session_->TakeOrders(At(5)).size(), 2U);
+}
+
 TEST_F(WorkerSessionTest, AnUnhealthyWorkerRestsForAMoment) {
   Look(0);
   StartTask();
--- a/libs/peer/src/channel.cc
+++ b/libs/peer/src/channel.cc
@@ -24,7 +24,7 @@
 using boost::system::error_code;
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr auto kTickPeriod = std::chrono::milliseconds(20);
+constexpr auto kTickPeriod = std::chrono::milliseconds(50);
 
 struct PendingCall {
   uint64_t number = 0;  // of this channel
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -20,6 +20,9 @@
   LogLevel level = LogLevel::kInfo;
   std::string file;  // empty: the standard error or output stream
   bool uses_stdout = false;
+  // Lines of a stream are kept until the buffer is full or FlushLog() is
+  // called, which the owner does every now and then.
+  bool is_buffered = false;
 };
 
 // Parses "debug", "info", "warning" or "error". Error: kUnknownLevel.
@@ -28,6 +31,9 @@
 // Call once, before other threads start. Error: kCannotOpen.
 bool StartLogging(const LogOptions& options, LogReason& why);
 
+// Writes what is buffered; thread-safe.
+void FlushLog();
+
 // Writes one line; thread-safe. Control characters in `text` are escaped, so
 // that one call is always one line.
 void Log(LogLevel level, std::string_view text);
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -28,6 +28,7 @@
 
 // The stream for lines without a file. Set before other threads start.
 std::FILE* log_stream = stderr;
+bool flushes_lines = true;
 
 // Writes to `log_stream`; the library's own target on a terminal is standard
 // output, which belongs to the program.
@@ -38,7 +39,9 @@
     const std::string line =
         message->logger()->logBuilder()->build(message, true);
     std::fwrite(line.data(), 1, line.size(), log_stream);
-    std::fflush(log_stream);
+    if (flushes_lines) {
+      std::fflush(log_stream);
+    }
   }
 };
 
@@ -79,6 +82,7 @@
                    "cannot open log file \"" + options.file + "\"");
   }
   log_stream = options.uses_stdout ? stdout : stderr;
+  flushes_lines = !options.is_buffered;
   el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
   if (options.file.empty()) {
     el::Helpers::installLogDispatchCallback<StreamCallback>(kStreamCallback);
@@ -89,6 +93,10 @@
   return true;
 }
 
+void FlushLog() {
+  std::fflush(log_stream);
+}
+
 void Log(LogLevel level, std::string_view text) {
   const std::string line = EscapeText(text);
   switch (level) {
