Leader's orders in a file of their own; advice of ended jobs is forgotten

Change: leader_orders.cc holds what concerns workers; ForgetJob replaces Forget, which nobody called. Test: AnEndedJobsPermitsAreForgotten.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -7,7 +7,6 @@
 #include <ranges>
 #include <utility>
 
-#include "jobs/pacing.h"
 #include "telemetry/decision.h"
 
 namespace sassafras::jobcontrol {
@@ -18,12 +17,6 @@
 // Beyond the time that the service takes by itself.
 constexpr auto kAdviceSlack = std::chrono::milliseconds(2500);
 
-std::string TextOf(const jobs::TaskKey& task) {
-  return task.step.job.str() + "." + std::to_string(task.step.occurrence) +
-         "." + std::to_string(task.step.step) + "." +
-         std::to_string(task.index);
-}
-
 }  // namespace
 
 Leader::Leader(LeaderHost& host,
@@ -202,6 +195,7 @@
         .Write();
     scheduler_.OnJobEnded(job);
     progress_.OnJobEnded(job);
+    advice_.ForgetJob(job);
     StopRunsOf(job);
   }
   metrics_.jobs_active.Set(static_cast<double>(host_.table().active().size()));
@@ -309,222 +303,6 @@
   Flush();
 }
 
-// --- orders ---
-
-void Leader::Dispatch(const jobs::StartRun& start) {
-  jobs::WorkerSession* session = FindSession(start.worker);
-  const jobs::JobRecord* job = host_.table().FindJob(start.task.step.job);
-  if (session == nullptr || job == nullptr) {
-    return;
-  }
-  const jobs::StepSpec& spec = job->spec.steps[start.task.step.step];
-  const auto& step =
-      job->occurrences.at(start.task.step.occurrence)[start.task.step.step];
-  jobs::StartOrder order{start.task, start.run, job->spec.payload};
-  if (spec.has_checkpoints) {
-    order.checkpoint = spec.is_gang ? step.checkpoint
-                                    : step.tasks[start.task.index].checkpoint;
-  }
-  const std::string* ticket =
-      advice_.Ticket(start.task.step, start.worker, host_.Now());
-  if (ticket != nullptr) {
-    order.ticket = *ticket;
-  }
-  Decision("start")
-      .With("task", TextOf(start.task))
-      .With("run", start.run)
-      .With("worker", start.worker.id)
-      .With("boot", start.worker.started_ms)
-      .With("term", options_.term)
-      .Write();
-  metrics_.runs_started.Add();
-  session->Start(std::move(order));
-  Serve(*session);
-}
-
-void Leader::StopRunsOf(const wire::JobId& job) {
-  for (const auto& record : host_.table().workers() | std::views::values) {
-    jobs::WorkerSession* session = FindSession(record.info.boot);
-    for (const jobs::OpenRun& run : record.runs) {
-      if (session == nullptr || run.task.step.job != job) {
-        continue;
-      }
-      if (auto end = session->Stop(run.task, run.run)) {
-        AddEnd(*std::move(end));
-      }
-    }
-    if (session != nullptr) {
-      Serve(*session);
-    }
-  }
-}
-
-// Makes the calls that the session wants now.
-void Leader::Serve(jobs::WorkerSession& session) {
-  const base::Instant now = host_.Now();
-  const jobs::WorkerBoot boot = session.boot();
-  for (const jobs::OrderCall& call : session.TakeOrders(now)) {
-    host_.workers().Order(
-        session.info(), call, options_.term,
-        [weak = weak_from_this(), boot, id = call.id](const auto& reply) {
-          if (const auto self = weak.lock()) {
-            self->OnOrderReply(boot, id, reply);
-          }
-        });
-  }
-  if (const auto call = session.TakeHold(now)) {
-    host_.workers().Hold(session.info(), *call, options_.term,
-                         [weak = weak_from_this(), boot](const auto& reply) {
-                           if (const auto self = weak.lock()) {
-                             self->OnHoldReply(boot, reply);
-                           }
-                         });
-  }
-}
-
-void Leader::OnOrderReply(const jobs::WorkerBoot& boot,
-                          uint64_t call,
-                          const jobs::OrderReply& reply) {
-  jobs::WorkerSession* session = FindSession(boot);
-  if (session == nullptr) {
-    return;
-  }
-  if (reply.result == jobs::OrderResult::kNoAnswer) {
-    metrics_.orders_unanswered.Add();
-  }
-  if (reply.result != jobs::OrderResult::kAccepted) {
-    Decision("order-failed")
-        .With("worker", boot.id)
-        .With("result", static_cast<int>(reply.result))
-        .Write();
-  }
-  if (auto end = session->OnOrderReply(call, reply, host_.Now())) {
-    AddEnd(*std::move(end));
-  }
-  Serve(*session);
-  Flush();
-}
-
-void Leader::OnHoldReply(const jobs::WorkerBoot& boot,
-                         const jobs::HoldReply& reply) {
-  jobs::WorkerSession* session = FindSession(boot);
-  if (session == nullptr) {
-    return;
-  }
-  const bool was_usable = session->IsUsable(host_.Now());
-  jobs::HoldOutcome outcome = session->OnHoldReply(reply, host_.Now());
-  needs_plan_ |= session->IsUsable(host_.Now()) != was_usable;
-  if (!outcome.ends.empty()) {
-    std::ranges::for_each(outcome.ends, [this](auto& it) { AddEnd(it); });
-    batch_.cursors.push_back({boot, outcome.end_cursor});
-  }
-  PaceFillers(*session);
-  StopLaggards(*session);
-  Serve(*session);
-  Flush();
-}
-
-void Leader::AddEnd(jobs::EndRun end) {
-  Decision("end")
-      .With("task", TextOf(end.task))
-      .With("run", end.run)
-      .With("worker", end.worker.id)
-      .With("how", nlohmann::json(end.how).get<std::string>())
-      .Write();
-  auto& counter = end.how == jobs::RunEnd::kRejected ? metrics_.runs_rejected
-                                                     : metrics_.runs_ended;
-  counter.Add();
-  paces_.erase({end.task, end.run});
-  scheduler_.OnEnd(end, host_.Now());
-  progress_.OnEnd(end.task, end.run, end.how == jobs::RunEnd::kDone,
-                  host_.Now());
-  const bool is_rejected = end.how == jobs::RunEnd::kRejected;
-  batch_.ends.push_back(end);
-  if (is_rejected) {
-    StopRestOfGang(end);
-  }
-}
-
-// The other members would only wait for one that doesn't come.
-void Leader::StopRestOfGang(const jobs::EndRun& end) {
-  const jobs::StepSpec* spec = SpecOf(end.task);
-  const jobs::JobRecord* job = host_.table().FindJob(end.task.step.job);
-  if (spec == nullptr || !spec->is_gang ||
-      job->phase != jobs::JobPhase::kActive) {
-    return;
-  }
-  for (auto& session : sessions_ | std::views::values) {
-    const jobs::WorkerRecord* record =
-        host_.table().FindWorker(session.boot().id);
-    for (const jobs::OpenRun& run : record->runs) {
-      const bool is_member = run.run == end.run &&
-                             run.task.step == end.task.step &&
-                             run.task != end.task;
-      if (!is_member) {
-        continue;
-      }
-      if (auto stopped = session.Stop(run.task, run.run)) {
-        batch_.ends.push_back(*std::move(stopped));
-      }
-    }
-  }
-}
-
-const jobs::StepSpec* Leader::SpecOf(const jobs::TaskKey& task) const {
-  const jobs::JobRecord* job = host_.table().FindJob(task.step.job);
-  const bool is_known =
-      job != nullptr && task.step.step < job->spec.steps.size();
-  return is_known ? &job->spec.steps[task.step.step] : nullptr;
-}
-
-// Fillers give way where a task misses the latency target of its users.
-void Leader::PaceFillers(jobs::WorkerSession& session) {
-  std::vector<jobs::PacedRun> runs;
-  for (const jobs::RunningRow& row : session.running()) {
-    const jobs::StepSpec* spec = SpecOf(row.task);
-    if (spec == nullptr) {
-      continue;
-    }
-    const auto it = paces_.find({row.task, row.run});
-    runs.push_back({row.task, row.run, spec->is_filler,
-                    spec->is_lasting ? spec->target_latency_ms : 0, row.figure,
-                    it == paces_.end() ? jobs::kFullPace : it->second});
-  }
-  for (const jobs::PaceOrder& pace : jobs::DecidePaces(runs)) {
-    paces_[{pace.task, pace.run}] = pace.percent;
-    session.Pace(pace.task, pace.run, pace.percent);
-    Decision("pace")
-        .With("task", TextOf(pace.task))
-        .With("worker", session.boot().id)
-        .With("percent", pace.percent)
-        .Write();
-  }
-}
-
-// Runs that would be done sooner elsewhere are stopped; the plan starts them
-// again on another worker.
-void Leader::StopLaggards(jobs::WorkerSession& session) {
-  std::vector<jobs::WatchedRun> runs;
-  for (const jobs::RunningRow& row : session.running()) {
-    const jobs::StepSpec* spec = SpecOf(row.task);
-    if (spec != nullptr && !spec->is_lasting && !spec->is_filler) {
-      runs.push_back({row.task, row.run, row.percent, spec->is_gang});
-    }
-  }
-  for (const jobs::Laggard& it : progress_.OnLook(runs, host_.Now())) {
-    Decision("laggard")
-        .With("task", TextOf(it.task))
-        .With("run", it.run)
-        .With("worker", session.boot().id)
-        .With("stuck", it.lag == jobs::Lag::kStuck)
-        .Write();
-    scheduler_.OnLag(it.task, session.boot(), host_.Now());
-    if (auto end = session.Stop(it.task, it.run)) {
-      AddEnd(*std::move(end));
-    }
-  }
-}
-
 void Leader::Tick() {
   EndLostWorkers();
   BeginOccurrences();
--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -80,8 +80,8 @@
   // another host first.
   void OnFailure(QuestionId id, base::Instant now);
 
-  // The step needs no more advice.
-  void Forget(const StepKey& step);
+  // The job has ended and needs no more advice.
+  void ForgetJob(const wire::JobId& job);
 
  private:
   struct WorkerPermit {
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -159,8 +159,11 @@
   }
 }
 
-void AdviceBook::Forget(const StepKey& step) {
-  steps_.erase(step);
+void AdviceBook::ForgetJob(const wire::JobId& job) {
+  const auto first = steps_.lower_bound({job, 0, 0});
+  const auto last = std::find_if(
+      first, steps_.end(), [&](const auto& it) { return it.first.job != job; });
+  steps_.erase(first, last);
 }
 
 bool AdviceBook::CanAsk(const wire::EntryId& host, base::Instant now) const {
--- a/libs/jobs/test/advice_test.cc
+++ b/libs/jobs/test/advice_test.cc
@@ -98,6 +98,18 @@
   EXPECT_EQ(book.Ask(wishes, Hosts(1), At(600)).size(), 1U);
 }
 
+TEST(AdviceBook, AnEndedJobsPermitsAreForgotten) {
+  AdviceBook book;
+  const std::vector<AdviceWish> wishes = {Wish("a"), Wish("b")};
+  const auto asked = book.Ask(wishes, Hosts(2), At(0));
+  const std::vector<Permit> permits = {{wire::WorkerId("w1"), "t"}};
+  book.OnAnswer(asked[0].question.id, permits, At(30));
+  book.OnAnswer(asked[1].question.id, permits, At(30));
+  book.ForgetJob(wire::JobId("a"));
+  EXPECT_EQ(book.Ticket(Key("a"), Boot("w1"), At(40)), nullptr);
+  EXPECT_NE(book.Ticket(Key("b"), Boot("w1"), At(40)), nullptr);
+}
+
 TEST(AdviceBook, AHostThatFailedRestsWhileOthersAsk) {
   AdviceBook book;
   const std::vector<AdviceWish> wishes = {Wish("a")};
