Advice is asked for only where its answer can be used

Change: a step wishes for advice where the workers that it may use, or new ones, have room for what it needs; what is wished for counts as taken for the wishes behind; four steps a plan may ask without room. Test: AdviceIsWishedForOnlyWhereItCanBeUsed.

--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -52,6 +52,9 @@
   Question question;
 };
 
+// What an earlier answer said of a worker and a step; it never changes.
+enum class Standing { kUnknown, kAllowed, kRefused };
+
 // Not thread-safe. Lives for one term of leadership.
 class AdviceBook {
  public:
@@ -64,6 +67,9 @@
   // The workers that may run `step` by tickets that stay valid for a moment.
   std::vector<WorkerBoot> Allowed(const StepKey& step, base::Instant now) const;
 
+  // Whatever the state of the ticket.
+  Standing StandingOf(const StepKey& step, const WorkerBoot& worker) const;
+
   // Whether a question about the step is on its way.
   bool IsAsked(const StepKey& step) const;
 
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -56,6 +56,20 @@
   return allowed;
 }
 
+Standing AdviceBook::StandingOf(const StepKey& step,
+                                const WorkerBoot& worker) const {
+  const auto known = steps_.find(step);
+  if (known == steps_.end()) {
+    return Standing::kUnknown;
+  }
+  const auto it = known->second.answered.find(worker.id);
+  if (it == known->second.answered.end() || it->second != worker) {
+    return Standing::kUnknown;
+  }
+  return known->second.allowed.contains(worker.id) ? Standing::kAllowed
+                                                   : Standing::kRefused;
+}
+
 bool AdviceBook::IsAsked(const StepKey& step) const {
   const auto it = steps_.find(step);
   return it != steps_.end() && it->second.is_asked;
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -21,11 +21,13 @@
 constexpr double kLateLimit = 3;
 // Workers named in one wish for advice.
 constexpr size_t kMaxCandidates = 50;
+constexpr size_t kMaxEagerWishes = 4;
 
 // One worker while a plan is made.
 struct Candidate {
   const WorkerRecord* record = nullptr;
   Resources room;
+  Resources wished;          // of `room`, for steps that ask for advice
   bool is_suspect = false;   // failed what it ran last
   bool is_reserved = false;  // for work that ranks before what comes now
   bool has_fillers = false;
@@ -196,12 +198,12 @@
     if (plan_.starts.size() - before >= wanted) {
       return;
     }
-    if (!able.empty() && IsHardToPlace(step, able)) {
-      Reserve(step, able);
-    }
     if (step.queue->advice.is_required && !advice_.IsAsked(step.key)) {
       Wish(step);
     }
+    if (!able.empty() && IsHardToPlace(step, able)) {
+      Reserve(step, able);
+    }
   }
 
   // The workers that may run the step, and could if they were empty.
@@ -388,13 +390,13 @@
       }
       kept += worker->is_reserved ? 0 : 1;
       worker->is_reserved = true;
-      missing -= std::min(missing, MembersOn(step, *worker));
+      missing -=
+          std::min(missing, MembersIn(step, worker->record->info.capacity));
     }
   }
 
-  // Tasks of the step that an empty worker holds.
-  static size_t MembersOn(const WaitingStep& step, const Candidate& worker) {
-    Resources room = worker.record->info.capacity;
+  // Tasks of the step that fit into `room`.
+  static size_t MembersIn(const WaitingStep& step, Resources room) {
     size_t members = 0;
     while (step.spec->Charge().Fits(room) && members < step.spec->count) {
       room -= step.spec->Charge();
@@ -403,25 +405,70 @@
     return members;
   }
 
+  // A worker that a question may name.
+  struct Nominee {
+    Candidate* worker = nullptr;
+    size_t members = 0;  // of the step, in the room that no other wish claims
+  };
+
+  // Asks only where the answer can be used: the tickets run out before long,
+  // and every question keeps a host from asking another. What is wished for
+  // counts as taken for the wishes that rank behind. A few steps may ask
+  // without room, to learn early which workers they may use.
   void Wish(const WaitingStep& step) {
-    using Ranked = std::pair<decltype(std::tuple_cat(std::tuple(false),
-                                                     Cost(step, Candidate()))),
-                             const Candidate*>;
-    std::vector<Ranked> able;
-    for (const Candidate* worker : PoolOf(step)) {
-      if (IsEligible(step, *worker)) {
-        able.emplace_back(std::tuple_cat(std::tuple(!HasRoom(step, *worker)),
-                                         Cost(step, *worker)),
-                          worker);
+    std::vector<Nominee> allowed;
+    std::vector<Nominee> unknown;
+    for (Candidate* worker : PoolOf(step)) {
+      const Standing standing = advice_.StandingOf(step.key, worker->boot());
+      if (!IsEligible(step, *worker) || standing == Standing::kRefused) {
+        continue;
       }
+      const size_t members =
+          HasRoom(step, *worker)
+              ? MembersIn(step, worker->room - worker->wished)
+              : 0;
+      auto& nominees = standing == Standing::kAllowed ? allowed : unknown;
+      nominees.push_back({worker, members});
+    }
+    const size_t needed = step.spec->is_gang ? step.spec->count : 1;
+    if (CountMembers(allowed) >= needed) {
+      AddWish(step, std::move(allowed), needed);
+    } else if (CountMembers(allowed) + CountMembers(unknown) >= needed &&
+               CountMembers(unknown) > 0) {
+      AddWish(step, std::move(unknown), needed);
+    } else if (allowed.empty() && !unknown.empty() &&
+               eager_wishes_ < kMaxEagerWishes) {
+      ++eager_wishes_;
+      AddWish(step, std::move(unknown), 0);
     }
-    const size_t named = std::min(able.size(), kMaxCandidates);
-    std::ranges::partial_sort(able, able.begin() + static_cast<long>(named));
-    able.resize(named);
-    AdviceWish wish{step.key, step.queue->advice, {}, false};
-    for (const auto& [rank, worker] : able) {
-      wish.candidates.push_back(worker->boot());
-      wish.has_room |= !std::get<0>(rank);
+  }
+
+  static size_t CountMembers(const std::vector<Nominee>& nominees) {
+    size_t members = 0;
+    for (const Nominee& it : nominees) {
+      members += it.members;
+    }
+    return members;
+  }
+
+  // Names the best nominees, and claims room for `claimed` tasks on them.
+  void AddWish(const WaitingStep& step,
+               std::vector<Nominee> nominees,
+               size_t claimed) {
+    const auto rank = [&](const Nominee& it) {
+      return std::pair(it.members == 0, Cost(step, *it.worker));
+    };
+    const size_t named = std::min(nominees.size(), kMaxCandidates);
+    std::ranges::partial_sort(
+        nominees, nominees.begin() + static_cast<long>(named), {}, rank);
+    nominees.resize(named);
+    AdviceWish wish{step.key, step.queue->advice, {}, claimed > 0};
+    for (const Nominee& it : nominees) {
+      wish.candidates.push_back(it.worker->boot());
+      for (size_t n = std::min(claimed, it.members); n > 0; --n) {
+        it.worker->wished += step.spec->Charge();
+        --claimed;
+      }
     }
     plan_.wishes.push_back(std::move(wish));
   }
@@ -433,6 +480,7 @@
   std::map<wire::ServiceId, std::vector<Candidate>> workers_;
   std::map<wire::WorkerId, Candidate*> by_id_;  // into `workers_`
   std::vector<WaitingStep> steps_;
+  size_t eager_wishes_ = 0;  // without room for the step
   Plan plan_;
 };
 
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -90,6 +90,29 @@
   EXPECT_EQ(plan.starts.size(), 6U) << "one worker is kept for the gang";
 }
 
+// The load pattern: many gangs wait for room on workers that need advice; each
+// question takes a host for most of a second.
+TEST_F(SchedulerTest, AdviceIsWishedForOnlyWhereItCanBeUsed) {
+  Batch batch;
+  batch.manifests = {it_.table.manifest()};
+  batch.manifests[0].version = 2;
+  batch.manifests[0].queues[0].advice = {true, 500, 8, 2000};
+  it_.table.Apply(batch);
+  AddWorker(Worker("w"));
+  AddWorker(Worker("v"));
+  StepSpec gang = Step(2);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  for (int n = 0; n < 20; ++n) {
+    AddJob("g" + std::to_string(n), {gang});
+  }
+  const Plan plan = MakePlan();
+  EXPECT_EQ(std::ranges::count(plan.wishes, true, &AdviceWish::has_room), 1)
+      << "there is room for one";
+  EXPECT_LE(plan.wishes.size(), 5U);
+  EXPECT_EQ(plan.wishes[0].step.job, wire::JobId("g0"));
+}
+
 TEST_F(SchedulerTest, ARackLocalGangStaysOnOneRack) {
   for (const char* name : {"a1", "a2", "b1", "b2"}) {
     WorkerInfo info = Worker(name);
