A worker that came back after it was given up is given up again

The leader kept the boot in the list of those whose removal is on its way, so it never gave it up a second time.

Change: the boot leaves that list once its removal is recorded. Test: LeaderTest.AWorkerThatCameBackIsGivenUpAgain, failed before. Ruled out: advice that isn't asked again, a health pause.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -163,6 +163,10 @@
         Serve(*session);
       }
     }
+    // A boot that was given up may come back, and be lost again.
+    for (const jobs::WorkerBoot& boot : batch.removed_workers) {
+      leaving_.erase(boot);
+    }
     metrics_.jobs_accepted.Add(batch.jobs.size());
   } else {
     leaving_.clear();
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -212,6 +212,34 @@
   EXPECT_GT(host_.Now() - ordered, milliseconds(4000));
 }
 
+// The load pattern: a worker is cut off, comes back as the same boot, takes
+// work again, and is gone later.
+TEST_F(LeaderTest, AWorkerThatCameBackIsGivenUpAgain) {
+  AddWorker("w");
+  host_.AnswerHolds({});
+  const auto lose = [&] {
+    const base::Instant begun = host_.Now();
+    while (host_.table().FindWorker(wire::WorkerId("w")) != nullptr &&
+           host_.Now() - begun < milliseconds(20'000)) {
+      for (auto& hold : std::exchange(host_.holds, {})) {
+        hold.done({});
+      }
+      host_.Advance(milliseconds(100));
+      host_.Commit();
+    }
+  };
+  lose();
+  ASSERT_EQ(host_.table().FindWorker(wire::WorkerId("w")), nullptr);
+  AddWorker("w");
+  host_.AnswerHolds({});
+  Submit("j");
+  host_.Commit();
+  ASSERT_EQ(host_.orders.size(), 1U);
+  host_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  lose();
+  EXPECT_EQ(host_.table().FindWorker(wire::WorkerId("w")), nullptr);
+}
+
 TEST_F(LeaderTest, ACancelledJobsRunsAreStopped) {
   AddWorker("w");
   host_.AnswerHolds({});
