One question for whether a step may start

Cause: read-through; JobTable and Scheduler each had the same check of the steps before, and scheduler.cc included four headers that it didn't use. Change: IsStepReady is declared with the records and serves both. Behaviour as before.

--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -55,6 +55,12 @@
                                                 last_failed,
                                                 checkpoint)
 
+// Whether all steps that `step` waits for are done; `steps` are those of one
+// occurrence.
+bool IsStepReady(const JobSpec& spec,
+                 const std::vector<StepRecord>& steps,
+                 uint32_t step);
+
 enum class JobPhase { kActive, kCompleted, kFailed, kCancelled };
 NLOHMANN_JSON_SERIALIZE_ENUM(JobPhase,
                              {{JobPhase::kActive, "active"},
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -38,6 +38,8 @@
   return left.address == right.address && left.port == right.port;
 }
 
+}  // namespace
+
 bool IsStepReady(const JobSpec& spec,
                  const std::vector<StepRecord>& steps,
                  uint32_t step) {
@@ -46,8 +48,6 @@
   });
 }
 
-}  // namespace
-
 const TaskRecord* JobRecord::FindTask(const TaskKey& key) const {
   const auto it = occurrences.find(key.step.occurrence);
   if (it == occurrences.end() || key.step.step >= it->second.size()) {
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -4,12 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <compare>
 #include <functional>
-#include <limits>
-#include <optional>
 #include <ranges>
-#include <span>
 #include <tuple>
 #include <utility>
 
@@ -58,14 +54,6 @@
   }
 };
 
-bool IsReady(const JobSpec& spec,
-             const std::vector<StepRecord>& steps,
-             uint32_t step) {
-  return std::ranges::all_of(spec.steps[step].after, [&](uint32_t earlier) {
-    return steps[earlier].IsDone();
-  });
-}
-
 // Estimated time of the longest chain of steps.
 int64_t ChainMs(const JobSpec& spec) {
   std::vector<int64_t> ends;
@@ -160,7 +148,7 @@
       const StepSpec& spec = job.spec.steps[n];
       const size_t waiting = record.tasks.size() - record.done - record.open;
       const bool may_start = spec.is_gang ? record.open == 0 : waiting > 0;
-      if (record.IsDone() || !may_start || !IsReady(job.spec, steps, n)) {
+      if (record.IsDone() || !may_start || !IsStepReady(job.spec, steps, n)) {
         continue;
       }
       WaitingStep step{&job, &queue, &spec, &record, {job.id, occurrence, n}};
