A restarted replica applies its log a little at a time, and elects soon

Change: ReplicaDriver keeps what steps do to the state in a queue, applies 64 KiB of records at once and puts the rest off; nobody leads before the queue is empty. Batches are written as arrays without the names of members (wire/array_json.h). A new leader calls 16 workers at once and puts the rest off. A replica that was started again waits a third to three quarters of an election timeout for a leader it may not have (the pre-vote keeps one that is cut off from disturbing others).

--- a/libs/cluster/include/cluster/replica_driver.h
+++ b/libs/cluster/include/cluster/replica_driver.h
@@ -5,6 +5,7 @@
 #ifndef CLUSTER_REPLICA_DRIVER_H_
 #define CLUSTER_REPLICA_DRIVER_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -87,6 +88,10 @@
 
   const consensus::Replica& replica() const { return *replica_; }
 
+  // Whether this replica leads, and the state has all that was committed
+  // before its term.
+  bool IsReadyToLead() const;
+
  private:
   ReplicaDriver(boost::asio::io_context& control, ReplicatedState& state);
 
@@ -100,7 +105,20 @@
   consensus::Token Expect(ResolvedDone done);
   void BeginBarrier();
   void Step(consensus::Event event);
+  // What one step does to the state, in this order.
+  struct StateChange {
+    std::optional<consensus::Snapshot> restore;
+    std::vector<consensus::Record> committed;
+    size_t applied = 0;  // records of `committed`
+    std::optional<consensus::RoleChange> role_change;
+    std::vector<consensus::Resolved> resolved;
+    std::optional<consensus::Index> take_snapshot_at;
+  };
+
   void CarryOut(consensus::Effects effects);
+  void ApplyChanges();
+  bool ApplyRecords(StateChange& change, size_t& bytes_left);
+  void Finish(StateChange change);
   void RestoreInstalled(const consensus::Snapshot& snapshot);
   void Resolve(const consensus::Resolved& resolved);
   void ArmTimer();
@@ -116,6 +134,8 @@
   bool is_barrier_running_ = false;
   std::vector<consensus::Event> events_;
   bool is_stepping_ = false;
+  std::deque<StateChange> changes_;  // to be applied; the oldest first
+  bool is_applying_ = false;         // now, or put off
   bool is_closed_ = false;
 };
 
--- a/libs/cluster/src/replica_driver.cc
+++ b/libs/cluster/src/replica_driver.cc
@@ -19,6 +19,9 @@
 
 constexpr auto kTransferPoll = std::chrono::milliseconds(20);
 constexpr int kExitStorageFailed = 70;
+// Applied without a pause. A replica that was started again has its whole log
+// to apply, and must go on answering its leader or its followers meanwhile.
+constexpr size_t kBytesAtOnce = 64 << 10;
 
 using telemetry::Log;
 using telemetry::LogLevel;
@@ -207,25 +210,66 @@
   }
   std::ranges::for_each(effects.messages,
                         [this](auto& it) { state_.Send(it); });
-  if (effects.restore) {
-    RestoreInstalled(*effects.restore);
+  StateChange change;
+  change.restore = std::move(effects.restore);
+  change.committed = std::move(effects.committed);
+  change.role_change = std::move(effects.role_change);
+  change.resolved = std::move(effects.resolved);
+  change.take_snapshot_at = effects.take_snapshot_at;
+  changes_.push_back(std::move(change));
+  if (!is_applying_) {
+    is_applying_ = true;
+    ApplyChanges();
   }
-  for (const auto& record : effects.committed) {
+}
+
+// Goes through the changes in order; puts the rest off where they are many.
+void ReplicaDriver::ApplyChanges() {
+  size_t bytes_left = kBytesAtOnce;
+  while (!changes_.empty() && !is_closed_) {
+    if (!ApplyRecords(changes_.front(), bytes_left)) {
+      boost::asio::post(control_,
+                        [self = shared_from_this()] { self->ApplyChanges(); });
+      return;
+    }
+    StateChange change = std::move(changes_.front());
+    changes_.pop_front();
+    Finish(std::move(change));
+  }
+  is_applying_ = false;
+}
+
+// False where records are left.
+bool ReplicaDriver::ApplyRecords(StateChange& change, size_t& bytes_left) {
+  if (const auto restore = std::exchange(change.restore, std::nullopt)) {
+    RestoreInstalled(*restore);
+  }
+  while (change.applied < change.committed.size() && bytes_left > 0) {
+    const consensus::Record& record = change.committed[change.applied++];
+    bytes_left -= std::min(bytes_left, record.payload.size());
     if (record.kind == consensus::RecordKind::kCommand) {
       state_.Apply(record);
     }
   }
-  if (effects.role_change) {
-    state_.OnRole(*effects.role_change);
+  return change.applied == change.committed.size();
+}
+
+void ReplicaDriver::Finish(StateChange change) {
+  if (change.role_change) {
+    state_.OnRole(*change.role_change);
   }
   state_.OnBatchApplied();
-  std::ranges::for_each(effects.resolved, [this](auto& it) { Resolve(it); });
-  if (effects.take_snapshot_at) {
+  std::ranges::for_each(change.resolved, [this](auto& it) { Resolve(it); });
+  if (change.take_snapshot_at) {
     const auto bytes = std::make_shared<const std::string>(state_.Snapshot());
-    Step(consensus::SnapshotTaken{*effects.take_snapshot_at, bytes});
+    Step(consensus::SnapshotTaken{*change.take_snapshot_at, bytes});
   }
 }
 
+bool ReplicaDriver::IsReadyToLead() const {
+  return replica_->HasCommittedInTerm() && changes_.empty();
+}
+
 void ReplicaDriver::RestoreInstalled(const consensus::Snapshot& snapshot) {
   std::string why;
   if (!state_.Restore(*snapshot.bytes, why)) {
--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -46,6 +46,11 @@
   durable_ = log_.Last();
   persist_ = {};
   FollowMembership();
+  // A live leader is heard long before; where there is none, because all
+  // replicas were started again, nobody gains by waiting. The pre-vote keeps
+  // one that is cut off from disturbing others.
+  ResetElectionDeadline(options_.election_timeout / 3,
+                        options_.election_timeout * 3 / 4);
   return true;
 }
 
--- a/libs/consensus/test/replica_test.cc
+++ b/libs/consensus/test/replica_test.cc
@@ -125,6 +125,23 @@
   }
 }
 
+// The load pattern: all replicas lose power at once. There is no leader that a
+// candidate could disturb, so nobody waits as long as for one that may only be
+// slow: a timeout, and half of one for a split vote.
+TEST_F(ReplicaTest, ReplicasThatWereAllStartedAgainElectSoon) {
+  Form(3);
+  for (int round = 0; round < 20; ++round) {
+    for (size_t i = 0; i < 3; ++i) {
+      cluster_->Crash(i);
+    }
+    cluster_->Heal();
+    const uint64_t begun = cluster_->Now();
+    ASSERT_TRUE(WaitForLeader());
+    EXPECT_LE((cluster_->Now() - begun) * kStep,
+              cluster_->options.election_timeout * 3 / 2);
+  }
+}
+
 TEST_F(ReplicaTest, SecondHostLostRightAfterARepairLosesNothing) {
   Form(3);
   Commit(60);
--- a/libs/control/include/control/replica_service.h
+++ b/libs/control/include/control/replica_service.h
@@ -65,6 +65,8 @@
 
   const state::Machine& machine() const;
   const consensus::Replica& replica() const;
+  // See cluster::ReplicaDriver.
+  bool IsReadyToLead() const;
   const ControlMetrics& metrics() const;
 
   std::string_view name() const override { return "replica"; }
--- a/libs/control/src/leader_service.cc
+++ b/libs/control/src/leader_service.cc
@@ -67,7 +67,7 @@
       done(RefusedReply("no method \"" + method + "\""));
       return;
     }
-    if (!term_ || !replica_.replica().HasCommittedInTerm()) {
+    if (!term_ || !replica_.IsReadyToLead()) {
       wire::ControlReply reply;
       reply.status = wire::ReplyStatus::kNotLeader;
       reply.leader = replica_.replica().Leader().name;
--- a/libs/control/src/replica_service.cc
+++ b/libs/control/src/replica_service.cc
@@ -209,6 +209,10 @@
   return impl_->machine();
 }
 
+bool ReplicaService::IsReadyToLead() const {
+  return impl_->driver().IsReadyToLead();
+}
+
 const consensus::Replica& ReplicaService::replica() const {
   return impl_->replica();
 }
--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -49,6 +49,8 @@
                    const jobs::Question& question,
                    base::Duration limit,
                    AdviceDone done) = 0;
+  // Runs `then` after the work that is ready now.
+  virtual void Defer(std::function<void()> then) = 0;
   virtual base::Instant Now() const = 0;
   virtual base::WallMs WallNow() const = 0;
 };
@@ -105,7 +107,9 @@
                   std::vector<RecordedDone> waiters);
   void Dispatch(const jobs::StartRun& start);
   void StopRunsOf(const wire::JobId& job);
-  void Serve(jobs::WorkerSession& session);
+  size_t Serve(jobs::WorkerSession& session);
+  void BeginRound();
+  void ContinueRound();
   void OnOrderReply(const jobs::WorkerBoot& boot,
                     uint64_t call,
                     const jobs::OrderReply& reply);
@@ -132,6 +136,8 @@
   bool is_recording_ = false;           // one batch at a time
   bool needs_plan_ = true;              // something changed since the last
   std::set<jobs::WorkerBoot> leaving_;  // their removal is in a batch
+  bool is_in_round_ = false;            // all sessions are being served
+  wire::WorkerId last_served_;          // of the round; empty: none yet
 };
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -267,6 +267,10 @@
         });
   }
 
+  void Defer(std::function<void()> then) override {
+    boost::asio::post(kernel_.control(), std::move(then));
+  }
+
   base::Instant Now() const override { return kernel::MonotonicNow(); }
   base::WallMs WallNow() const override { return kernel::WallNow(); }
 
@@ -433,7 +437,7 @@
 
   // A leader begins its work once it knows all that was committed before.
   void Tick() {
-    if (is_leading_ && !leader_ && replica().HasCommittedInTerm()) {
+    if (is_leading_ && !leader_ && driver_->IsReadyToLead()) {
       BeginTerm();
     }
     if (leader_) {
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -49,9 +49,7 @@
       }
     }
   }
-  for (auto& session : sessions_ | std::views::values) {
-    Serve(session);
-  }
+  BeginRound();
 }
 
 void Leader::OpenSession(const jobs::WorkerRecord& record) {
@@ -330,9 +328,7 @@
 void Leader::Tick() {
   EndLostWorkers();
   BeginOccurrences();
-  for (auto& session : sessions_ | std::views::values) {
-    Serve(session);
-  }
+  BeginRound();
   needs_plan_ = true;
   Flush();
 }
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -15,6 +15,8 @@
 
 using telemetry::Decision;
 
+constexpr size_t kCallsPerTurn = 16;
+
 std::string TextOf(const jobs::TaskKey& task) {
   return task.step.job.str() + "." + std::to_string(task.step.occurrence) +
          "." + std::to_string(task.step.step) + "." +
@@ -74,11 +76,43 @@
   }
 }
 
-// Makes the calls that the session wants now.
-void Leader::Serve(jobs::WorkerSession& session) {
+// Serves all sessions, a few calls at a time: a new leader has to call every
+// worker at once, and its followers must hear it meanwhile.
+void Leader::BeginRound() {
+  if (is_in_round_) {
+    return;
+  }
+  is_in_round_ = true;
+  last_served_ = {};
+  ContinueRound();
+}
+
+void Leader::ContinueRound() {
+  size_t calls = 0;
+  auto it = sessions_.upper_bound(last_served_);
+  while (it != sessions_.end() && calls < kCallsPerTurn) {
+    last_served_ = it->first;
+    calls += Serve(it->second);
+    it = sessions_.upper_bound(last_served_);
+  }
+  if (it == sessions_.end()) {
+    is_in_round_ = false;
+    return;
+  }
+  host_.Defer([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->ContinueRound();
+    }
+  });
+}
+
+// Makes the calls that the session wants now, and tells their number.
+size_t Leader::Serve(jobs::WorkerSession& session) {
   const base::Instant now = host_.Now();
   const jobs::WorkerBoot boot = session.boot();
-  for (const jobs::OrderCall& call : session.TakeOrders(now)) {
+  const auto orders = session.TakeOrders(now);
+  size_t calls = orders.size();
+  for (const jobs::OrderCall& call : orders) {
     host_.workers().Order(
         session.info(), call, options_.term,
         [weak = weak_from_this(), boot, id = call.id](const auto& reply) {
@@ -88,6 +122,7 @@
         });
   }
   if (const auto call = session.TakeHold(now)) {
+    ++calls;
     host_.workers().Hold(session.info(), *call, options_.term,
                          [weak = weak_from_this(), boot](const auto& reply) {
                            if (const auto self = weak.lock()) {
@@ -95,6 +130,7 @@
                            }
                          });
   }
+  return calls;
 }
 
 void Leader::OnOrderReply(const jobs::WorkerBoot& boot,
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -49,6 +49,9 @@
            const jobs::Question&,
            base::Duration,
            AdviceDone) override {}
+  void Defer(std::function<void()> then) override {
+    deferred_.push_back(std::move(then));
+  }
   base::Instant Now() const override { return now_; }
   base::WallMs WallNow() const override { return 0; }
 
@@ -77,6 +80,13 @@
   }
   size_t waiting() const { return waiting_.size(); }
 
+  // Lets the leader go on with what it put off once.
+  bool RunDeferred() {
+    const auto deferred = std::exchange(deferred_, {});
+    std::ranges::for_each(deferred, [](auto& then) { then(); });
+    return !deferred.empty();
+  }
+
   void Advance(milliseconds time) {
     now_ += time;
     leader->Tick();
@@ -104,6 +114,7 @@
   jobs::JobTable table_;
   std::deque<std::pair<std::shared_ptr<const jobs::Batch>, RecordedDone>>
       waiting_;
+  std::vector<std::function<void()>> deferred_;
   base::Instant now_ = base::Instant(milliseconds(1'000'000));
 };
 
@@ -284,6 +295,24 @@
   EXPECT_TRUE(host_.table().FindJob(wire::JobId("j"))->FindTask(task)->is_open);
 }
 
+// The load pattern: all control hosts lose power, and the next leader has to
+// call every worker while its followers wait for its heartbeats.
+TEST_F(LeaderTest, ANewLeaderCallsManyWorkersAFewAtATime) {
+  constexpr size_t kWorkers = 100;
+  constexpr size_t kMostAtOnce = 16;
+  for (size_t n = 0; n < kWorkers; ++n) {
+    AddWorker("w" + std::to_string(n));
+  }
+  Elect(2);
+  size_t called = host_.holds.size();
+  EXPECT_LE(called, kMostAtOnce);
+  while (host_.RunDeferred()) {
+    EXPECT_LE(host_.holds.size() - called, kMostAtOnce);
+    called = host_.holds.size();
+  }
+  EXPECT_EQ(called, kWorkers);
+}
+
 // The load pattern: one member of a gang is refused for want of a ticket.
 TEST_F(LeaderTest, TheRestOfAGangIsStoppedWhenOneMemberIsRejected) {
   AddWorker("w");
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -30,12 +30,7 @@
   uint32_t failures = 0;
   std::string checkpoint;  // of a gang: see StepRecord
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskRecord,
-                                                run,
-                                                is_done,
-                                                is_open,
-                                                failures,
-                                                checkpoint)
+WIRE_DEFINE_ARRAY(TaskRecord, run, is_done, is_open, failures, checkpoint)
 
 struct StepRecord {
   std::vector<TaskRecord> tasks;
@@ -102,13 +97,7 @@
   bool is_served = false;   // its users have a latency target
   bool is_limited = false;  // only so many of the step run on one worker
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OpenRun,
-                                                task,
-                                                run,
-                                                charge,
-                                                is_filler,
-                                                is_served,
-                                                is_limited)
+WIRE_DEFINE_ARRAY(OpenRun, task, run, charge, is_filler, is_served, is_limited)
 
 struct WorkerRecord {
   WorkerInfo info;
@@ -136,7 +125,7 @@
   uint64_t run = 0;
   WorkerBoot worker;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartRun, task, run, worker)
+WIRE_DEFINE_ARRAY(StartRun, task, run, worker)
 
 struct EndRun {
   WorkerBoot worker;
@@ -145,19 +134,14 @@
   RunEnd how = RunEnd::kStopped;
   std::string checkpoint;  // empty: none was told
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndRun,
-                                                worker,
-                                                task,
-                                                run,
-                                                how,
-                                                checkpoint)
+WIRE_DEFINE_ARRAY(EndRun, worker, task, run, how, checkpoint)
 
 // The worker's ends up to `cursor` are among the batch's ends or before them.
 struct MoveCursor {
   WorkerBoot worker;
   uint64_t cursor = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MoveCursor, worker, cursor)
+WIRE_DEFINE_ARRAY(MoveCursor, worker, cursor)
 
 struct BeginOccurrence {
   wire::JobId job;
--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/id.h"
+#include "wire/array_json.h"
 #include "wire/ids.h"
 
 namespace sassafras::jobs {
@@ -111,7 +112,7 @@
 
   friend auto operator<=>(const StepKey&, const StepKey&) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepKey, job, occurrence, step)
+WIRE_DEFINE_ARRAY(StepKey, job, occurrence, step)
 
 struct TaskKey {
   StepKey step;
@@ -119,7 +120,7 @@
 
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskKey, step, index)
+WIRE_DEFINE_ARRAY(TaskKey, step, index)
 
 // A worker's process, told apart from earlier ones under the same id by the
 // time of its start.
@@ -129,7 +130,7 @@
 
   friend auto operator<=>(const WorkerBoot&, const WorkerBoot&) = default;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerBoot, id, started_ms)
+WIRE_DEFINE_ARRAY(WorkerBoot, id, started_ms)
 
 // What a worker says of itself.
 struct WorkerInfo {
