A worker that refuses connections has ended: its tasks needn't wait for the lease

Cause: a worker that crashes is given up only when its lease has surely run out, 4 to 5 s later, though its address refuses connections at once.

Change: the pool tells a refused connection from other failures (http::TryError:: kRefused; IsUnsent for those that ask whether anything was sent). A session whose holds are refused for 500 ms, with no heartbeat and no answer between, is over. A worker that is only silent, or breaks off connections, still has its lease.

--- a/libs/entry/src/entry_effects.cc
+++ b/libs/entry/src/entry_effects.cc
@@ -30,6 +30,7 @@
 routing::UpstreamFailure FailureOf(http::TryError code) {
   switch (code) {
     case http::TryError::kNotConnected:
+    case http::TryError::kRefused:
       return routing::UpstreamFailure::kConnect;
     case http::TryError::kTimeout:
       return routing::UpstreamFailure::kTimeout;
@@ -150,7 +151,7 @@
                           std::optional<http::Answer> answer,
                           const http::TryReason& why) {
   if (!answer) {
-    const bool any_byte_sent = why.code != http::TryError::kNotConnected;
+    const bool any_byte_sent = !http::IsUnsent(why.code);
     Step(routing::UpstreamFailed{effect.request, effect.attempt, any_byte_sent,
                                  FailureOf(why.code)});
     return;
--- a/libs/http/include/http/upstream_pool.h
+++ b/libs/http/include/http/upstream_pool.h
@@ -22,6 +22,7 @@
 enum class TryError {
   kNone,
   kNotConnected,  // certain: not one byte of the request was written
+  kRefused,       // the same, because nothing listens at the address
   kBrokenOff,     // the connection ended before the whole answer
   kTimeout,
   kTooLarge,  // the answer is larger than the limit
@@ -29,6 +30,11 @@
 };
 using TryReason = base::Reason<TryError>;
 
+// Whether not one byte of the request was written.
+constexpr bool IsUnsent(TryError error) {
+  return error == TryError::kNotConnected || error == TryError::kRefused;
+}
+
 struct UpstreamTarget {
   std::string address;  // IP number
   uint16_t port = 0;
--- a/libs/http/src/upstream_pool.cc
+++ b/libs/http/src/upstream_pool.cc
@@ -217,9 +217,10 @@
           asio::redirect_error(asio::use_awaitable, ec));
     }
     if (ec) {
-      why.Set(TryError::kNotConnected, "connecting to " + target.address + ":" +
-                                           std::to_string(target.port) +
-                                           " failed: " + ec.message());
+      why.Set(ec == asio::error::connection_refused ? TryError::kRefused
+                                                    : TryError::kNotConnected,
+              "connecting to " + target.address + ":" +
+                  std::to_string(target.port) + " failed: " + ec.message());
       --endpoints_[{target.address, target.port}].open;
       EraseIfUnused({target.address, target.port});
       co_return nullptr;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -276,7 +276,11 @@
     if (!session.IsOver(now) || !leaving_.insert(session.boot()).second) {
       continue;
     }
-    Decision("worker-lost").With("worker", id).Write();
+    Decision("worker-lost")
+        .With("worker", id)
+        .With("boot", session.boot().started_ms)
+        .With("ended", session.HasEnded())
+        .Write();
     metrics_.workers_lost.Add();
     const jobs::WorkerRecord& record = host_.table().workers().at(id);
     for (const jobs::OpenRun& run : record.runs) {
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -90,6 +90,7 @@
 };
 struct HoldReply {
   bool is_answered = false;  // by the right boot, and readable
+  bool is_refused = false;   // nothing listens at the worker's address
   int64_t clock_ms = 0;
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
@@ -140,8 +141,11 @@
   // Whether new work may go there: it was heard a moment ago under this term,
   // and is well.
   bool IsUsable(base::Instant now) const;
-  // Whether all that it ran is surely over by the end of its lease.
+  // Whether all that it ran is surely over: its lease has run out, or its
+  // process has ended.
   bool IsOver(base::Instant now) const;
+  // Whether its process has ended, so that nobody needs to wait for the lease.
+  bool HasEnded() const { return has_ended_; }
   // What the last look showed.
   const std::vector<RunningRow>& running() const { return running_; }
   // The newest checkpoint that a look showed; empty where there is none.
@@ -179,6 +183,7 @@
                                      base::Instant now);
   EndRun Close(const RunKey& key, RunEnd how);
   void Settle(RunState& state, base::Instant now);
+  void OnFailedHold(bool is_refused, base::Instant now);
   std::optional<EndRun> Judge(const RunKey& key,
                               RunState& state,
                               bool is_running) const;
@@ -197,6 +202,9 @@
   bool is_heard_ = false;  // a hold of this term was answered
   base::Instant last_heard_;
   bool has_failed_hold_ = false;  // the last one
+  // The first of the holds that were refused since the worker was heard last.
+  std::optional<base::Instant> refused_since_;
+  bool has_ended_ = false;
   base::Instant unhealthy_until_;
   bool is_holding_ = false;
   base::Instant hold_sent_;
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -20,6 +20,9 @@
 // A worker that wasn't heard for this long gets no new work and no longer
 // lease.
 constexpr auto kSilence = std::chrono::milliseconds(1600);
+// A worker listens as long as its process lives. It is believed to have ended
+// once it has refused calls for this long and wasn't heard meanwhile.
+constexpr auto kRefusedLimit = std::chrono::milliseconds(500);
 constexpr auto kUnhealthyPause = std::chrono::milliseconds(1000);
 // A list of ends of this length may be cut off.
 constexpr size_t kMaxListedEnds = 500;
@@ -44,6 +47,7 @@
                                 int64_t clock_ms,
                                 base::Instant now) {
   info_ = info;
+  refused_since_.reset();
   lease_.OnClock(now, clock_ms);
 }
 
@@ -225,8 +229,10 @@
   has_failed_hold_ = !reply.is_answered;
   if (!reply.is_answered) {
     next_hold_ = now + kHoldRetry;
+    OnFailedHold(reply.is_refused, now);
     return outcome;
   }
+  refused_since_.reset();
   lease_.OnClock(now, reply.clock_ms);
   is_heard_ = true;
   last_heard_ = now;
@@ -267,6 +273,15 @@
   return outcome;
 }
 
+void WorkerSession::OnFailedHold(bool is_refused, base::Instant now) {
+  if (!is_refused) {
+    refused_since_.reset();
+    return;
+  }
+  refused_since_ = refused_since_.value_or(now);
+  has_ended_ |= now - *refused_since_ >= kRefusedLimit;
+}
+
 // What a look proves of a run that it doesn't list as ended.
 std::optional<EndRun> WorkerSession::Judge(const RunKey& key,
                                            RunState& state,
@@ -308,7 +323,7 @@
 }
 
 bool WorkerSession::IsOver(base::Instant now) const {
-  return IsSilent(now) && lease_.IsOver(now);
+  return has_ended_ || (IsSilent(now) && lease_.IsOver(now));
 }
 
 std::string WorkerSession::CheckpointOf(const TaskKey& task,
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -34,6 +34,14 @@
     return session_->OnHoldReply(reply, At(sent_ms + 1));
   }
 
+  // Nothing listens at the worker's address.
+  void Refuse(int64_t ms) {
+    ASSERT_TRUE(session_->TakeHold(At(ms)));
+    HoldReply reply;
+    reply.is_refused = true;
+    session_->OnHoldReply(reply, At(ms));
+  }
+
   void StartTask(uint64_t run = 1) {
     session_->Start({Task("j"), run, "text"});
   }
@@ -53,6 +61,37 @@
   std::optional<WorkerSession> session_;
 };
 
+// The load pattern: a worker crashes, and its tasks are urgent.
+TEST_F(WorkerSessionTest, AWorkerThatRefusesCallsForAWhileHasEnded) {
+  Look(1);
+  Refuse(100);
+  Refuse(400);
+  EXPECT_FALSE(session_->IsOver(At(401)));
+  Refuse(700);
+  EXPECT_TRUE(session_->IsOver(At(701)));
+}
+
+TEST_F(WorkerSessionTest, AWorkerThatIsHeardBetweenRefusalsHasNotEnded) {
+  Look(1);
+  Refuse(100);
+  session_->OnHeartbeat(Worker("w"), 1300, At(300));
+  Refuse(400);
+  Refuse(700);
+  EXPECT_FALSE(session_->IsOver(At(701)));
+  Look(950);
+  Refuse(1200);
+  EXPECT_FALSE(session_->IsOver(At(1201)));
+}
+
+TEST_F(WorkerSessionTest, ASilentWorkerHasNotEnded) {
+  Look(1);
+  for (int64_t ms = 100; ms < 3000; ms += 300) {
+    ASSERT_TRUE(session_->TakeHold(At(ms)));
+    session_->OnHoldReply({}, At(ms));
+  }
+  EXPECT_FALSE(session_->IsOver(At(3000)));
+}
+
 TEST_F(WorkerSessionTest, NothingIsOrderedBeforeTheWorkerWasLookedAt) {
   StartTask();
   EXPECT_TRUE(session_->TakeOrders(At(1)).empty());
