An entry that is cut off says so at once and leaves the rotation

Change: Client knows when any process answered last. An entry that no control host has answered for 1.4 s isn't ready, refuses at once, and ends the calls that are under way with what is known of them (unknown where a try may have arrived). While a leader is elected the other control hosts still answer, so nothing changes then; a greeting moves on to the next host after 500 ms.

--- a/libs/cluster/include/cluster/client.h
+++ b/libs/cluster/include/cluster/client.h
@@ -5,6 +5,7 @@
 #ifndef CLUSTER_CLIENT_H_
 #define CLUSTER_CLIENT_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,9 @@
 // Whether a call may be sent again while its outcome isn't known.
 enum class Resend { kNo, kYes };
 
+// How long one process may take to answer before the next is asked.
+inline constexpr base::Duration kMaxTryLimit = std::chrono::milliseconds(1500);
+
 // Thread-safe. Callbacks run on the control thread; a reply's status is never
 // kNotLeader: without a leader in time it is kNotRun.
 class Client {
@@ -46,7 +50,15 @@
             nlohmann::json body,
             base::Duration limit,
             Resend resend,
-            ReplyDone done);
+            ReplyDone done,
+            base::Duration try_limit = kMaxTryLimit);
+
+  // When another process answered last, with whatever. To be used on the
+  // control thread.
+  base::Instant LastContact() const;
+  // Ends all calls that are under way with what is known of them. To be used
+  // on the control thread.
+  void Abandon();
 
   // Commits a command; every command may be resent. The reply's body is a
   // wire::CommandResult.
--- a/libs/cluster/src/client.cc
+++ b/libs/cluster/src/client.cc
@@ -3,6 +3,7 @@
 #include "cluster/client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -14,7 +15,6 @@
 namespace {
 
 constexpr auto kSearchPause = std::chrono::milliseconds(20);
-constexpr auto kMaxTryLimit = std::chrono::milliseconds(1500);
 constexpr auto kLostPause = std::chrono::milliseconds(1000);
 constexpr std::string_view kMethodPrefix = "control/";
 
@@ -28,6 +28,9 @@
   // Some try ended without telling whether the leader acted.
   bool may_have_run = false;
   std::string last_message = "no control leader is known";
+  base::Duration try_limit{};
+  bool is_trying = false;    // a try is on its way
+  bool is_finished = false;  // `done` was called
 };
 
 wire::ControlReply MakeReply(wire::ReplyStatus status, std::string message) {
@@ -52,13 +55,30 @@
     target_ = local_ ? self_ : NextAfter(self_);
   }
 
+  base::Instant last_contact() const { return last_contact_; }
+
+  void Abandon() {
+    const auto calls = pending_;
+    for (const auto& call : calls) {
+      call->may_have_run |= call->is_trying;
+      call->last_message = "no control host answers";
+      Finish(call);
+    }
+  }
+
   void Begin(std::shared_ptr<Pending> call) {
-    boost::asio::post(control_, [self = shared_from_this(),
-                                 it = std::move(call)] { self->Try(it); });
+    boost::asio::post(control_,
+                      [self = shared_from_this(), it = std::move(call)] {
+                        self->pending_.insert(it);
+                        self->Try(it);
+                      });
   }
 
  private:
   void Try(const std::shared_ptr<Pending>& call) {
+    if (call->is_finished) {
+      return;
+    }
     const auto left = call->deadline - kernel::MonotonicNow();
     if (left <= base::Duration::zero()) {
       Finish(call);
@@ -71,10 +91,11 @@
              });
       return;
     }
+    call->is_trying = true;
     peers_.Call(
         target_, std::string(kMethodPrefix) + call->method,
         wire::EncodeCbor(call->body),
-        std::min<base::Duration>(left, kMaxTryLimit),
+        std::min<base::Duration>(left, call->try_limit),
         [self = shared_from_this(), call, target = target_](
             std::optional<std::string> body, const peer::CallReason& why) {
           self->OnAnswer(call, target, std::move(body), why);
@@ -85,10 +106,12 @@
                 const wire::EntryId& target,
                 std::optional<std::string> body,
                 const peer::CallReason& why) {
+    call->is_trying = false;
     wire::CodecReason codec_why;
     auto reply = body ? wire::DecodeCbor<wire::ControlReply>(*body, codec_why)
                       : std::nullopt;
     if (reply) {
+      last_contact_ = kernel::MonotonicNow();
       OnReply(call, *reply);
       return;
     }
@@ -106,7 +129,7 @@
     switch (reply.status) {
       case wire::ReplyStatus::kOk:
       case wire::ReplyStatus::kRefused:
-        call->done(reply);
+        Finish(call, reply);
         return;
       case wire::ReplyStatus::kNotLeader:
         FollowHint(reply.leader);
@@ -136,10 +159,18 @@
     });
   }
 
-  static void Finish(const std::shared_ptr<Pending>& call) {
+  void Finish(const std::shared_ptr<Pending>& call) {
     const auto status = call->may_have_run ? wire::ReplyStatus::kUnknown
                                            : wire::ReplyStatus::kNotRun;
-    call->done(MakeReply(status, call->last_message));
+    Finish(call, MakeReply(status, call->last_message));
+  }
+
+  void Finish(const std::shared_ptr<Pending>& call,
+              const wire::ControlReply& reply) {
+    if (!std::exchange(call->is_finished, true)) {
+      pending_.erase(call);
+      call->done(reply);
+    }
   }
 
   // Others may still believe in a leader that doesn't answer here.
@@ -174,9 +205,11 @@
   Peers& peers_;
   const LocalHandler local_;
   // Used on the control thread.
-  wire::EntryId target_;       // the process asked next
-  wire::EntryId lost_target_;  // the last that didn't answer
-  base::Instant lost_until_;   // no hint leads back to it before
+  std::set<std::shared_ptr<Pending>> pending_;
+  base::Instant last_contact_;  // another process answered
+  wire::EntryId target_;        // the process asked next
+  wire::EntryId lost_target_;   // the last that didn't answer
+  base::Instant lost_until_;    // no hint leads back to it before
 };
 
 Client::Client(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -194,16 +227,26 @@
                   nlohmann::json body,
                   base::Duration limit,
                   Resend resend,
-                  ReplyDone done) {
+                  ReplyDone done,
+                  base::Duration try_limit) {
   auto call = std::make_shared<Pending>();
   call->method = std::move(method);
   call->body = std::move(body);
   call->deadline = kernel::MonotonicNow() + limit;
   call->resend = resend;
+  call->try_limit = try_limit;
   call->done = std::move(done);
   impl_->Begin(std::move(call));
 }
 
+base::Instant Client::LastContact() const {
+  return impl_->last_contact();
+}
+
+void Client::Abandon() {
+  impl_->Abandon();
+}
+
 void Client::Propose(const wire::Command& command,
                      base::Duration limit,
                      ReplyDone done) {
--- a/libs/jobcontrol/src/entry_node.cc
+++ b/libs/jobcontrol/src/entry_node.cc
@@ -21,6 +21,13 @@
 // An entry that hasn't heard the leader for this long may have an old
 // manifest, and routes nothing by it.
 constexpr auto kManifestAge = std::chrono::milliseconds(3000);
+// A control host that doesn't answer keeps an entry from hearing the others
+// for this long.
+constexpr auto kGreetTryLimit = std::chrono::milliseconds(500);
+// An entry that no control host has answered for this long is cut off: other
+// entries serve its callers better. While a leader is being elected the other
+// control hosts still answer.
+constexpr auto kContactAge = std::chrono::milliseconds(1400);
 
 using telemetry::Decision;
 
@@ -78,10 +85,14 @@
   bool IsReady() const { return !is_draining_ && IsCurrent(); }
 
   bool IsCurrent() const {
-    return manifest_.version != 0 &&
+    return manifest_.version != 0 && IsInContact() &&
            kernel::MonotonicNow() - last_heard_ < kManifestAge;
   }
 
+  bool IsInContact() const {
+    return kernel::MonotonicNow() - client_.LastContact() < kContactAge;
+  }
+
   template <typename Body>
   void Call(std::string_view method,
             const Body& body,
@@ -97,10 +108,13 @@
     hello.is_adviser = !is_draining_;
     hello.manifest_version = manifest_.version;
     const base::Instant asked = kernel::MonotonicNow();
-    Call(kHelloMethod, hello, kGreetLimit,
-         [self = shared_from_this(), asked](const auto& reply) {
-           self->OnGreeted(reply, asked);
-         });
+    client_.Call(
+        std::string(kHelloMethod), hello, kGreetLimit, cluster::Resend::kYes,
+        [self = shared_from_this(), asked](const auto& reply) {
+          self->OnGreeted(reply, asked);
+        },
+        kGreetTryLimit);
+    WatchContact();
     timer_.expires_after(kGreetPeriod);
     timer_.async_wait([self = shared_from_this()](auto ec) {
       if (!ec) {
@@ -109,6 +123,21 @@
     });
   }
 
+  // Callers of an entry that is cut off hear so at once.
+  void WatchContact() {
+    const bool is_in_contact = IsInContact();
+    if (std::exchange(was_in_contact_, is_in_contact) == is_in_contact) {
+      return;
+    }
+    Decision("control-hosts")
+        .With("reached", is_in_contact)
+        .With("silent_us", kernel::MonotonicNow() - client_.LastContact())
+        .Write();
+    if (!is_in_contact) {
+      client_.Abandon();
+    }
+  }
+
   void Drain() { is_draining_ = true; }
   void Close() { timer_.cancel(); }
   boost::asio::io_context& control() { return kernel_.control(); }
@@ -141,6 +170,7 @@
   jobs::Manifest manifest_;  // its version never goes back
   base::Instant last_heard_;
   bool is_draining_ = false;
+  bool was_in_contact_ = false;
 };
 
 EntryNode::EntryNode(const settings::Settings& settings,
