Urgent steps go to fast workers, and advice on the next step is asked ahead

Logs of 272 jobs of one step: the median run took 0.73 s, the longest 1.3 times as long; a third of the workers needs 1.18 times the mean of its siblings, two thirds 0.95. Between two steps 154 ms passed, most of it the question to the placement service; questions to an entry that was gone were given up after 2.5 s only.

Change: WorkerSpeed learns each worker's time against the mean of the step's tasks; placement prefers usual workers for objectives of at most 2.5 times the work, and leaves them to it for other work; very slow workers come last for all. A step whose predecessors run and are half done (or short) is asked about before it is ready. Independent tasks name four workers each, 16 at least. A question is given up 0.6 s after the time that the service takes for it.

Tests: worker_speed_test (four load patterns), SchedulerTest. AdviceOnTheNextStepIsAskedWhileTheOneBeforeRuns; both ask what didn't exist before.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -15,7 +15,7 @@
 using telemetry::Decision;
 
 // Beyond the time that the service takes by itself.
-constexpr auto kAdviceSlack = std::chrono::milliseconds(2500);
+constexpr auto kAdviceSlack = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -297,7 +297,7 @@
       advice_.Ask(wishes, host_.Advisers(host_.Now()), host_.Now());
   for (const jobs::Asking& asking : askings) {
     metrics_.questions.Add();
-    host_.Ask(asking.host, asking.question, kAdviceSlack,
+    host_.Ask(asking.host, asking.question, asking.expected + kAdviceSlack,
               [weak = weak_from_this(), asking, asked = host_.Now()](
                   const std::optional<std::vector<jobs::Permit>>& permits) {
                 if (const auto self = weak.lock()) {
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -52,6 +52,7 @@
       .With("term", options_.term)
       .Write();
   metrics_.runs_started.Add();
+  scheduler_.OnStart(start, host_.Now());
   session->Start(std::move(order));
   Serve(*session);
 }
@@ -186,7 +187,7 @@
                                                      : metrics_.runs_ended;
   counter.Add();
   paces_.erase({end.task, end.run});
-  scheduler_.OnEnd(end, host_.Now());
+  scheduler_.OnEnd(host_.table(), end, host_.Now());
   progress_.OnEnd(end.task, end.run, end.how == jobs::RunEnd::kDone,
                   host_.Now());
   const bool is_rejected = end.how == jobs::RunEnd::kRejected;
--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -54,6 +54,7 @@
 struct Asking {
   wire::EntryId host;
   Question question;
+  base::Duration expected{};  // time that the service takes for it
 };
 
 // What an earlier answer said of a worker and a step; it never changes.
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -214,6 +214,7 @@
   const Queue* FindQueue(const QueueId& id) const;
   const JobRecord* FindJob(const wire::JobId& id) const;
   const WorkerRecord* FindWorker(const wire::WorkerId& id) const;
+  const StepRecord* FindStep(const StepKey& key) const;
 
   const std::map<wire::JobId, JobRecord>& jobs() const { return jobs_; }
   // The jobs in phase kActive by order of acceptance.
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -17,6 +17,7 @@
 #include "jobs/job_table.h"
 #include "jobs/types.h"
 #include "jobs/worker_health.h"
+#include "jobs/worker_speed.h"
 
 namespace sassafras::jobs {
 
@@ -40,8 +41,9 @@
   // A job was accepted at `now`, or was found by a new leader.
   void OnJob(const wire::JobId& job, base::Instant now);
   void OnJobEnded(const wire::JobId& job);
-  // A run ended, however it did.
-  void OnEnd(const EndRun& end, base::Instant now);
+  void OnStart(const StartRun& start, base::Instant now);
+  // A run ended, however it did. `table` doesn't know it yet.
+  void OnEnd(const JobTable& table, const EndRun& end, base::Instant now);
   // A run stands still or falls behind on that worker, and is to be stopped.
   void OnLag(const TaskKey& task, const WorkerBoot& worker, base::Instant now);
 
@@ -54,6 +56,7 @@
  private:
   std::map<wire::JobId, base::Instant> accepted_;
   WorkerHealth health_;
+  WorkerSpeed speed_;
   // Workers on which a task of the job failed.
   std::map<wire::JobId, std::map<TaskKey, std::set<wire::WorkerId>>> failed_on_;
 };
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -112,7 +112,9 @@
       continue;
     }
     last_id_ = last_id_.Next();
-    Asking asking{idle.back(), {last_id_, wish.step, {}}};
+    Asking asking{idle.back(),
+                  {last_id_, wish.step, {}},
+                  TimeOf(wish.policy, workers.size())};
     idle.pop_back();
     asking_.insert(asking.host);
     std::ranges::transform(workers, std::back_inserter(asking.question.workers),
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -405,7 +405,7 @@
   }
 }
 
-StepRecord* JobTable::FindStep(const StepKey& key) {
+const StepRecord* JobTable::FindStep(const StepKey& key) const {
   const auto job = jobs_.find(key.job);
   if (job == jobs_.end()) {
     return nullptr;
@@ -417,6 +417,10 @@
   return &it->second[key.step];
 }
 
+StepRecord* JobTable::FindStep(const StepKey& key) {
+  return const_cast<StepRecord*>(std::as_const(*this).FindStep(key));
+}
+
 uint32_t JobTable::MaxAttempts(const JobRecord& job) const {
   const Queue* queue = FindQueue(job.queue);
   return queue == nullptr ? 1 : std::max<uint32_t>(1, queue->max_attempts);
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -14,6 +14,10 @@
 // Past this many times its objective a job has no value to its caller, and
 // waits behind those that have.
 constexpr double kLateLimit = 3;
+// Advice on what follows a step this short is asked for as soon as it runs.
+constexpr int64_t kShortStepMs = 1000;
+// Objectives of at most this many times the work leave little time to spare.
+constexpr double kUrgentStretch = 2.5;
 
 // Estimated time of the longest chain of steps.
 int64_t ChainMs(const JobSpec& spec) {
@@ -28,6 +32,35 @@
   return ends.empty() ? 0 : *std::ranges::max_element(ends);
 }
 
+// Whether the steps that `step` waits for will be done before long: tickets
+// that are asked for now would still be valid.
+bool IsNearlyReady(const JobSpec& spec,
+                   const std::vector<StepRecord>& steps,
+                   uint32_t step) {
+  return std::ranges::all_of(spec.steps[step].after, [&](uint32_t earlier) {
+    const StepRecord& record = steps[earlier];
+    const bool is_running = record.done + record.open == record.tasks.size();
+    return is_running && (2 * record.done >= record.tasks.size() ||
+                          spec.steps[earlier].estimate_ms <= kShortStepMs);
+  });
+}
+
+// Work that has little time to spare goes to fast workers, and other work
+// leaves them to it. Lower is better.
+uint32_t PaceRank(const WaitingStep& step, Pace pace) {
+  const bool is_urgent =
+      !step.spec->is_lasting && step.queue->stretch <= kUrgentStretch;
+  switch (pace) {
+    case Pace::kUsual:
+      return is_urgent ? 0 : 1;
+    case Pace::kSlow:
+      return is_urgent ? 1 : 0;
+    case Pace::kVerySlow:
+      break;
+  }
+  return 2;
+}
+
 std::set<std::string> RacksOf(const Pool& able) {
   std::set<std::string> racks;
   for (const Candidate* it : able) {
@@ -81,7 +114,10 @@
                       worker.info().rack != step.spec->data_rack;
   const bool is_disturbed = (step.spec->is_filler && worker.has_served) ||
                             (step.spec->IsServed() && worker.has_fillers);
-  return {worker.is_suspect, is_disturbed, is_far,
+  return {worker.is_suspect,
+          is_disturbed,
+          is_far,
+          PaceRank(step, worker.pace),
           worker.room.accelerators - step.spec->need.accelerators,
           -worker.room.cpu_milli};
 }
@@ -104,7 +140,7 @@
 
 Plan Planner::Make(const PlanSources& sources) {
   CollectSteps();
-  if (steps_.empty()) {
+  if (steps_.empty() && coming_.empty()) {
     return {};
   }
   idle_advisers_ = sources.idle_advisers();
@@ -113,6 +149,12 @@
   for (const WaitingStep& step : steps_) {
     Place(step);
   }
+  std::ranges::sort(coming_, {}, &WaitingStep::Rank);
+  for (const WaitingStep& step : coming_) {
+    if (CanAskAbout(step)) {
+      Wish(step);
+    }
+  }
   return std::move(plan_);
 }
 
@@ -135,6 +177,7 @@
   candidate.record = &record;
   candidate.room = record.info.capacity;
   candidate.is_suspect = memory_.health.IsSuspect(record.info.boot);
+  candidate.pace = memory_.speed.PaceOf(record.info.boot);
   for (const OpenRun& run : record.runs) {
     candidate.room -= run.charge;
     candidate.has_fillers |= run.is_filler;
@@ -167,18 +210,23 @@
     const StepSpec& spec = job.spec.steps[n];
     const size_t waiting = record.tasks.size() - record.done - record.open;
     const bool may_start = spec.is_gang ? record.open == 0 : waiting > 0;
-    if (record.IsDone() || !may_start || !IsStepReady(job.spec, steps, n)) {
+    if (record.IsDone() || !may_start) {
+      continue;
+    }
+    const bool is_ready = IsStepReady(job.spec, steps, n);
+    if (!is_ready &&
+        !(queue.advice.is_required && IsNearlyReady(job.spec, steps, n))) {
       continue;
     }
     WaitingStep step{&job, &queue, &spec, &record, {job.id, occurrence, n}};
-    const bool awaits_advice = queue.advice.is_required &&
-                               advice_.IsAsked(step.key) &&
-                               !advice_.IsKnown(step.key);
-    if (awaits_advice) {
+    const bool is_known = queue.advice.is_required && advice_.IsKnown(step.key);
+    const bool awaits_advice =
+        queue.advice.is_required && !is_known && advice_.IsAsked(step.key);
+    if (awaits_advice || (!is_ready && is_known)) {
       continue;
     }
     SetDue(step);
-    steps_.push_back(std::move(step));
+    (is_ready ? steps_ : coming_).push_back(std::move(step));
   }
 }
 
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -20,6 +20,7 @@
 #include "jobs/scheduler.h"
 #include "jobs/types.h"
 #include "jobs/worker_health.h"
+#include "jobs/worker_speed.h"
 
 namespace sassafras::jobs {
 
@@ -27,8 +28,9 @@
 struct Candidate {
   const WorkerRecord* record = nullptr;
   Resources room;
-  Resources wished;          // of `room`, for steps that ask for advice
-  bool is_suspect = false;   // failed what it ran last
+  Resources wished;         // of `room`, for steps that ask for advice
+  bool is_suspect = false;  // failed what it ran last
+  Pace pace = Pace::kUsual;
   bool is_reserved = false;  // for work that ranks before what comes now
   bool has_fillers = false;
   bool has_served = false;  // lasting tasks with users of their own
@@ -57,12 +59,13 @@
 };
 
 // Lower is better: not where others fail now, apart from work that it would
-// disturb or be disturbed by, near the data, accelerators packed, processors
-// spread.
+// disturb or be disturbed by, near the data, on workers of the right speed,
+// accelerators packed, processors spread.
 struct PlacementCost {
   bool is_suspect = false;
   bool is_disturbed = false;
   bool is_far = false;
+  uint32_t pace_rank = 0;
   int64_t accelerators_left = 0;
   int64_t cpu_taken = 0;  // less the more room there is
 
@@ -85,6 +88,7 @@
 struct Memory {
   const std::map<wire::JobId, base::Instant>& accepted;
   const WorkerHealth& health;
+  const WorkerSpeed& speed;
   const FailedOn& failed_on;
 };
 
@@ -144,6 +148,7 @@
   std::vector<Candidate> workers_;         // sorted by id; fixed once collected
   std::map<wire::ServiceId, Pool> pools_;  // into `workers_`
   std::vector<WaitingStep> steps_;
+  std::vector<WaitingStep> coming_;  // about to be ready, and nothing is known
   size_t idle_advisers_ = 0;
   size_t eager_wishes_ = 0;  // without room for the step
   Plan plan_;
--- a/libs/jobs/src/planner_wishes.cc
+++ b/libs/jobs/src/planner_wishes.cc
@@ -11,6 +11,19 @@
 // Workers named in one wish for advice.
 constexpr size_t kMaxCandidates = 50;
 constexpr size_t kMaxEagerWishes = 4;
+// Independent tasks need few workers of many, and the answer comes sooner; a
+// gang needs room for all its members on allowed workers.
+constexpr size_t kFewestNamed = 16;
+constexpr size_t kNamedPerTask = 4;
+
+size_t CountToName(const WaitingStep& step) {
+  if (step.spec->is_gang) {
+    return kMaxCandidates;
+  }
+  const size_t tasks =
+      step.record->tasks.size() - step.record->done - step.record->open;
+  return std::clamp(kNamedPerTask * tasks, kFewestNamed, kMaxCandidates);
+}
 
 }  // namespace
 
@@ -76,7 +89,7 @@
   for (const Nominee& it : nominees) {
     ranked.push_back({{it.members == 0, CostOf(step, *it.worker)}, it});
   }
-  const size_t named = std::min(ranked.size(), kMaxCandidates);
+  const size_t named = std::min(ranked.size(), CountToName(step));
   std::ranges::partial_sort(ranked, ranked.begin() + static_cast<long>(named),
                             {}, &Ranked::first);
   ranked.resize(named);
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -13,10 +13,25 @@
 void Scheduler::OnJobEnded(const wire::JobId& job) {
   accepted_.erase(job);
   failed_on_.erase(job);
+  speed_.OnJobEnded(job);
 }
 
-void Scheduler::OnEnd(const EndRun& end, base::Instant now) {
+void Scheduler::OnStart(const StartRun& start, base::Instant now) {
+  speed_.OnStart(start, now);
+}
+
+void Scheduler::OnEnd(const JobTable& table,
+                      const EndRun& end,
+                      base::Instant now) {
   const bool has_failed = end.how == RunEnd::kFailed;
+  if (end.how == RunEnd::kDone) {
+    const StepRecord* step = table.FindStep(end.task.step);
+    const bool is_last =
+        step != nullptr && step->done + 1 >= step->tasks.size();
+    speed_.OnDone(end, is_last, now);
+  } else {
+    speed_.OnLost(end);
+  }
   if (!has_failed && end.how != RunEnd::kDone) {
     return;
   }
@@ -37,7 +52,7 @@
                          const AdviceBook& advice,
                          const PlanSources& sources,
                          base::Instant now) const {
-  const Memory memory{accepted_, health_, failed_on_};
+  const Memory memory{accepted_, health_, speed_, failed_on_};
   return Planner(table, advice, memory, now).Make(sources);
 }
 
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -20,6 +20,9 @@
 }
 
 constexpr size_t kAdvisers = 4;
+const std::vector<wire::EntryId> kHosts = {
+    wire::EntryId("a"), wire::EntryId("b"), wire::EntryId("c"),
+    wire::EntryId("d")};
 
 PlanSources Sources(const JobTable& table,
                     const std::set<wire::WorkerId>& usable) {
@@ -107,6 +110,31 @@
   EXPECT_EQ(plan.starts.size(), 6U) << "one worker is kept for the gang";
 }
 
+// The load pattern: urgent jobs of several short steps, each of which would
+// wait for the placement service.
+TEST_F(SchedulerTest, AdviceOnTheNextStepIsAskedWhileTheOneBeforeRuns) {
+  Batch batch;
+  batch.manifests = {it_.table.manifest()};
+  batch.manifests[0].version = 2;
+  batch.manifests[0].queues[0].advice = {true, 20, 0.3, 2000};
+  it_.table.Apply(batch);
+  AddWorker(Worker("w"));
+  AddJob("j", {Step(2), Step(1, {0})});
+  const auto asked = advice_.Ask(MakePlan().wishes, kHosts, At(1));
+  ASSERT_EQ(asked.size(), 1U);
+  const std::vector<Permit> permits = {{wire::WorkerId("w"), "t"}};
+  advice_.OnAnswer(asked[0].question.id, permits, At(20));
+  EXPECT_TRUE(std::ranges::none_of(MakePlan(20).wishes, [](auto& it) {
+    return it.step.step == 1;
+  })) << "the first step hasn't begun";
+  ASSERT_TRUE(it_.Start(Task("j", 0, 0), 1, Boot("w")));
+  ASSERT_TRUE(it_.Start(Task("j", 0, 1), 1, Boot("w")));
+  const Plan plan = MakePlan(30);
+  EXPECT_TRUE(plan.starts.empty());
+  ASSERT_EQ(plan.wishes.size(), 1U);
+  EXPECT_EQ(plan.wishes[0].step.step, 1U);
+}
+
 // The load pattern: many gangs wait for room on workers that need advice; each
 // question takes a host for most of a second.
 TEST_F(SchedulerTest, AdviceIsWishedForOnlyWhereItCanBeUsed) {
--- /dev/null
+++ b/libs/jobs/test/worker_speed_test.cc
@@ -0,0 +1,73 @@
+// Which workers count as slow.
+
+#include "jobs/worker_speed.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "table_fixture.h"
+
+namespace sassafras::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One step of four tasks, one on each of the workers a to d, with these times.
+void RunStep(WorkerSpeed& speed,
+             const std::string& job,
+             const std::vector<int64_t>& times_ms) {
+  const base::Instant begun(milliseconds(1'000));
+  for (uint32_t n = 0; n < times_ms.size(); ++n) {
+    const WorkerBoot worker = Boot(std::string(1, static_cast<char>('a' + n)));
+    speed.OnStart({Task(job, 0, n), 1, worker}, begun);
+  }
+  for (uint32_t n = 0; n < times_ms.size(); ++n) {
+    const WorkerBoot worker = Boot(std::string(1, static_cast<char>('a' + n)));
+    speed.OnDone({worker, Task(job, 0, n), 1, RunEnd::kDone, ""},
+                 n + 1 == times_ms.size(), begun + milliseconds(times_ms[n]));
+  }
+}
+
+// The load pattern: a third of the workers is of a slower kind.
+TEST(WorkerSpeed, AWorkerThatTakesLongerThanItsSiblingsIsSlow) {
+  WorkerSpeed speed;
+  for (int n = 0; n < 40; ++n) {
+    RunStep(speed, "j" + std::to_string(n), {700, 700, 700, 910});
+  }
+  EXPECT_EQ(speed.PaceOf(Boot("a")), Pace::kUsual);
+  EXPECT_EQ(speed.PaceOf(Boot("d")), Pace::kSlow);
+  EXPECT_EQ(speed.PaceOf(Boot("d", 2)), Pace::kUsual) << "another boot";
+}
+
+TEST(WorkerSpeed, AWorkerThatTurnedSlowIsVerySlowAndRecovers) {
+  WorkerSpeed speed;
+  for (int n = 0; n < 40; ++n) {
+    RunStep(speed, "j" + std::to_string(n), {700, 700, 700, 4'000});
+  }
+  EXPECT_EQ(speed.PaceOf(Boot("d")), Pace::kVerySlow);
+  for (int n = 0; n < 40; ++n) {
+    RunStep(speed, "k" + std::to_string(n), {700, 700, 700, 700});
+  }
+  EXPECT_EQ(speed.PaceOf(Boot("d")), Pace::kUsual);
+}
+
+TEST(WorkerSpeed, OneLongRunProvesNothing) {
+  WorkerSpeed speed;
+  RunStep(speed, "j", {700, 700, 700, 1'000});
+  EXPECT_EQ(speed.PaceOf(Boot("d")), Pace::kUsual);
+}
+
+TEST(WorkerSpeed, RunsThatEndedOtherwiseTellNothing) {
+  WorkerSpeed speed;
+  for (int n = 0; n < 40; ++n) {
+    const std::string job = "j" + std::to_string(n);
+    speed.OnStart({Task(job, 0, 9), 1, Boot("d")}, base::Instant());
+    speed.OnLost({Boot("d"), Task(job, 0, 9), 1, RunEnd::kStopped, ""});
+    RunStep(speed, job, {700, 700, 700});
+  }
+  EXPECT_EQ(speed.PaceOf(Boot("d")), Pace::kUsual);
+}
+
+}  // namespace
+}  // namespace sassafras::jobs
