A look that got no answer names no run stuck

After a hold without an answer the leader judged the rows of the look before once more, with the time gone on.

Change: rows are judged only after an answer.

Test: LeaderTest.ALookThatGotNoAnswerProvesNoRunStuck, failed before.

--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -170,8 +170,11 @@
     std::ranges::for_each(outcome.ends, [this](auto& it) { AddEnd(it); });
     batch_.cursors.push_back({boot, outcome.end_cursor});
   }
-  PaceFillers(*session);
-  StopLaggards(*session);
+  // Without an answer the session still shows what an earlier look did.
+  if (reply.is_answered) {
+    PaceFillers(*session);
+    StopLaggards(*session);
+  }
   Serve(*session);
   Flush();
 }
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -313,6 +313,26 @@
   EXPECT_EQ(called, kWorkers);
 }
 
+// The load pattern: workers leave calls unanswered for a while.
+TEST_F(LeaderTest, ALookThatGotNoAnswerProvesNoRunStuck) {
+  AddWorker("w");
+  host_.AnswerHolds({});
+  Submit("j");
+  host_.Commit();
+  for (auto& order : std::exchange(host_.orders, {})) {
+    order.done({jobs::OrderResult::kAccepted, std::nullopt});
+  }
+  jobs::HoldReply lists;
+  lists.running = {{{{wire::JobId("j"), 0, 0}, 0}, 1, "", 40, 0}};
+  host_.AnswerHolds(lists);
+  host_.Advance(milliseconds(1'600));
+  for (auto& hold : std::exchange(host_.holds, {})) {
+    hold.done({});
+  }
+  host_.Advance(milliseconds(300));
+  EXPECT_TRUE(host_.orders.empty());
+}
+
 // The load pattern: one member of a gang is refused for want of a ticket.
 TEST_F(LeaderTest, TheRestOfAGangIsStoppedWhenOneMemberIsRejected) {
   AddWorker("w");
