--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr size_t kMaxOrdersInFlight = 3;
-constexpr auto kOrderRetry = std::chrono::milliseconds(300);
-constexpr auto kHoldWait = std::chrono::milliseconds(1000);
-constexpr auto kHoldRetry = std::chrono::milliseconds(200);
+constexpr auto kOrderRetry = std::chrono::milliseconds(150);
+constexpr auto kHoldWait = std::chrono::milliseconds(700);
+constexpr auto kHoldRetry = std::chrono::milliseconds(50);
 // A hold isn't kept back longer than this by ends that aren't recorded yet.
 constexpr auto kRecordWait = std::chrono::milliseconds(800);
 // A worker that wasn't heard for this long gets no new work and no longer
