--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -39,8 +39,9 @@
                    uint32_t step) {
   return std::ranges::all_of(spec.steps[step].after, [&](uint32_t earlier) {
     const StepRecord& record = steps[earlier];
-    const bool is_running = record.done + record.open == record.tasks.size();
-    return is_running && (2 * record.done >= record.tasks.size() ||
+    const size_t done = record.done;
+    const bool is_running = done + record.open == record.tasks.size();
+    return is_running && (2 * done >= record.tasks.size() ||
                           spec.steps[earlier].estimate_ms <= kShortStepMs);
   });
 }
