A task is moved for slowness once, and only against whole runs

Its log: after a change of leader three of 22 tasks were called slow about once a second and stopped, up to 28 times each. Siblings that the new leader found nearly done had ended a moment later, so a whole task looked slow against them; and a task with more work than its siblings is as slow on any worker.

Change: only runs that were seen at 20 % or less tell how long a task takes; a task is moved for slowness once. Runs that stand still are stopped as before.

Tests: ProgressWatch.RunsThatWereFoundHalfDoneDontMakeTheirSiblingsSlow and ATaskIsMovedForSlownessOnce, both failed before.

--- a/libs/jobs/include/jobs/progress.h
+++ b/libs/jobs/include/jobs/progress.h
@@ -6,6 +6,7 @@
 #define JOBS_PROGRESS_H_
 
 #include <map>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -49,6 +50,7 @@
   struct Progress {
     base::Instant first_seen;
     base::Instant last_moved;
+    int32_t first_percent = 0;  // when it was first seen
     int32_t percent = 0;
     bool is_named = false;
   };
@@ -59,7 +61,11 @@
               base::Instant now) const;
 
   std::map<RunKey, Progress> runs_;
-  std::map<StepKey, std::vector<base::Duration>> done_;  // how long they took
+  // How long tasks took that were seen nearly from their start.
+  std::map<StepKey, std::vector<base::Duration>> done_;
+  // Tasks that were named as slow once: where they are slow again, there is
+  // more to do in them than in their siblings.
+  std::set<TaskKey> moved_;
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/progress.cc
+++ b/libs/jobs/src/progress.cc
@@ -12,6 +12,9 @@
 // Members of a gang stand still until the last one has come.
 constexpr auto kGangStuckAfter = std::chrono::milliseconds(4500);
 constexpr int32_t kDonePercent = 100;
+// A run that a new leader finds further on than this was begun too long ago to
+// tell how long it takes.
+constexpr int32_t kFreshPercent = 20;
 // A run is slow where what is left would take this many times a whole sibling,
 // and the time that a fresh start costs.
 constexpr double kSlowFactor = 1.5;
@@ -28,6 +31,7 @@
     Progress& progress = it->second;
     if (is_new) {
       progress.first_seen = now;
+      progress.first_percent = run.percent;
     }
     if (is_new || run.percent != progress.percent) {
       progress.percent = run.percent;
@@ -38,9 +42,13 @@
     }
     const base::Duration limit = run.is_gang ? kGangStuckAfter : kStuckAfter;
     const bool is_stuck = now - progress.last_moved >= limit;
-    const bool is_slow = !run.is_gang && IsSlow(run.task.step, progress, now);
+    const bool is_slow = !run.is_gang && !moved_.contains(run.task) &&
+                         IsSlow(run.task.step, progress, now);
     if (is_stuck || is_slow) {
       progress.is_named = true;
+      if (!is_stuck) {
+        moved_.insert(run.task);
+      }
       laggards.push_back(
           {run.task, run.run, is_stuck ? Lag::kStuck : Lag::kSlow});
     }
@@ -71,13 +79,16 @@
                           bool is_done,
                           base::Instant now) {
   const auto node = runs_.extract({task, run});
-  if (!node.empty() && is_done) {
+  const bool is_whole =
+      !node.empty() && node.mapped().first_percent <= kFreshPercent;
+  if (is_whole && is_done) {
     done_[task.step].push_back(now - node.mapped().first_seen);
   }
 }
 
 void ProgressWatch::OnJobEnded(const wire::JobId& job) {
   std::erase_if(done_, [&](const auto& it) { return it.first.job == job; });
+  std::erase_if(moved_, [&](const auto& it) { return it.step.job == job; });
 }
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/test/progress_test.cc
+++ b/libs/jobs/test/progress_test.cc
@@ -66,5 +66,37 @@
   EXPECT_TRUE(Look(watch, 4, 60, 720).empty()) << "a little behind";
 }
 
+// The load pattern: a new leader finds runs that are nearly done, and so end a
+// moment later.
+TEST(ProgressWatch, RunsThatWereFoundHalfDoneDontMakeTheirSiblingsSlow) {
+  ProgressWatch watch;
+  for (uint32_t n = 0; n < 3; ++n) {
+    Look(watch, n, 90, 0);
+    watch.OnEnd(Task("j", 0, n), 1, true, At(100));
+  }
+  EXPECT_TRUE(Look(watch, 3, 0, 0).empty());
+  EXPECT_TRUE(Look(watch, 3, 20, 900).empty());
+}
+
+// The load pattern: a task has several times the work of its siblings, and
+// would be stopped on one worker after the other.
+TEST(ProgressWatch, ATaskIsMovedForSlownessOnce) {
+  ProgressWatch watch;
+  for (uint32_t n = 0; n < 3; ++n) {
+    Look(watch, n, 0, 0);
+    watch.OnEnd(Task("j", 0, n), 1, true, At(700));
+  }
+  const auto look = [&](uint64_t run, int32_t percent, int64_t ms) {
+    const std::vector<WatchedRun> runs = {
+        {Task("j", 0, 3), run, percent, false}};
+    return watch.OnLook(runs, At(ms));
+  };
+  EXPECT_TRUE(look(1, 0, 0).empty());
+  EXPECT_EQ(look(1, 10, 720).size(), 1U);
+  watch.OnEnd(Task("j", 0, 3), 1, false, At(800));
+  EXPECT_TRUE(look(2, 0, 900).empty());
+  EXPECT_TRUE(look(2, 10, 1620).empty());
+}
+
 }  // namespace
 }  // namespace sassafras::jobs
