Forgetting a job's entries is one function, and no walk over all jobs

Cause: reading the change again: three places removed a job's entries from sorted containers, two by the range of its keys (advice, speeds), one by walking over all entries at each job's end (progress).

Change: EraseJob in libs/jobs/src, used by all three. Behaviour unchanged.

--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -7,6 +7,8 @@
 #include <ranges>
 #include <utility>
 
+#include "erase_job.h"
+
 namespace sassafras::jobs {
 namespace {
 
@@ -195,10 +197,8 @@
 }
 
 void AdviceBook::ForgetJob(const wire::JobId& job) {
-  const auto first = steps_.lower_bound({job, 0, 0});
-  const auto last = std::find_if(
-      first, steps_.end(), [&](const auto& it) { return it.first.job != job; });
-  steps_.erase(first, last);
+  EraseJob(steps_, job, StepKey{job, 0, 0},
+           [](auto& it) { return it.first.job; });
 }
 
 bool AdviceBook::CanAsk(const wire::EntryId& host, base::Instant now) const {
--- a/libs/jobs/src/progress.cc
+++ b/libs/jobs/src/progress.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "erase_job.h"
+
 namespace sassafras::jobs {
 namespace {
 
@@ -87,8 +89,10 @@
 }
 
 void ProgressWatch::OnJobEnded(const wire::JobId& job) {
-  std::erase_if(done_, [&](const auto& it) { return it.first.job == job; });
-  std::erase_if(moved_, [&](const auto& it) { return it.step.job == job; });
+  const StepKey first{job, 0, 0};
+  EraseJob(done_, job, first, [](auto& it) { return it.first.job; });
+  EraseJob(moved_, job, TaskKey{first, 0},
+           [](auto& it) { return it.step.job; });
 }
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/worker_speed.cc
+++ b/libs/jobs/src/worker_speed.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "erase_job.h"
+
 namespace sassafras::jobs {
 namespace {
 
@@ -19,15 +21,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-// Removes the entries of a job, whose keys follow each other.
-template <typename Map>
-void EraseJob(Map& map, const wire::JobId& job, auto first_key, auto job_of) {
-  const auto first = map.lower_bound(first_key);
-  const auto last = std::find_if(
-      first, map.end(), [&](auto& it) { return job_of(it.first) != job; });
-  map.erase(first, last);
-}
-
 }  // namespace
 
 void WorkerSpeed::OnStart(const StartRun& start, base::Instant now) {
@@ -54,9 +47,9 @@
 
 void WorkerSpeed::OnJobEnded(const wire::JobId& job) {
   const StepKey first{job, 0, 0};
-  EraseJob(done_, job, first, [](const StepKey& it) { return it.job; });
+  EraseJob(done_, job, first, [](auto& it) { return it.first.job; });
   EraseJob(running_, job, std::pair(TaskKey{first, 0}, uint64_t{0}),
-           [](const auto& it) { return it.first.step.job; });
+           [](auto& it) { return it.first.first.step.job; });
 }
 
 void WorkerSpeed::Judge(const std::vector<Sample>& samples) {
