Jobs: a gang keeps its capacity while tickets are renewed, on few workers

Wide gangs never asked about more workers than the first query named. Members were spread over the emptiest workers, and a gang ends with the first worker that it loses. Change: reservations are made on permitted workers, whether or not their tickets are valid; other work prefers workers that aren't reserved; a gang that couldn't run on its permitted workers even if these were empty asks about others; members fill one worker after the other. The four new tests fail with the four changes taken out.

--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -76,6 +76,8 @@
   // modified.
   std::vector<const WorkerBoot*> AllowedWorkers(const StepKey& step,
                                                 base::Instant now) const;
+  // The same, also with tickets that have expired and can be renewed.
+  std::vector<const WorkerBoot*> PermittedWorkers(const StepKey& step) const;
 
   // Ignores whether the ticket has expired.
   AdviceStatus StatusOf(const StepKey& step, const WorkerBoot& worker) const;
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -27,6 +27,8 @@
 struct Plan {
   std::vector<StartRun> starts;
   std::vector<AdviceRequest> advice_requests;  // most urgent first
+  // Workers whose capacity is kept for steps that couldn't be placed.
+  std::set<WorkerBoot> reserved_workers;
 };
 
 // Inputs of a plan that are costly to compute. Each is called at most once, and
@@ -58,7 +60,7 @@
   Plan MakePlan(const JobTable& table,
                 const AdviceTracker& advice,
                 const PlanSources& sources,
-                base::Instant now) const;
+                base::Instant now);
 
  private:
   std::map<wire::JobId, JobTiming> timings_;  // of active jobs
@@ -66,6 +68,7 @@
   WorkerSpeed speed_;
   // Workers on which each task failed or was a straggler.
   std::map<wire::JobId, std::map<TaskKey, std::set<wire::WorkerId>>> failed_on_;
+  std::set<WorkerBoot> reserved_workers_;  // of the last plan
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -66,6 +66,11 @@
   return allowed;
 }
 
+std::vector<const WorkerBoot*> AdviceTracker::PermittedWorkers(
+    const StepKey& step) const {
+  return AllowedWorkers(step, base::Instant::min());
+}
+
 AdviceStatus AdviceTracker::StatusOf(const StepKey& step,
                                      const WorkerBoot& worker) const {
   const auto advice = steps_.find(step);
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -107,6 +107,7 @@
   return {worker.is_on_probation,
           has_interference,
           is_remote,
+          worker.was_reserved,
           SpeedRank(step, worker.speed),
           worker.free_capacity.accelerators - step.spec->need.accelerators,
           -worker.free_capacity.cpu_milli};
@@ -168,6 +169,7 @@
   candidate.free_capacity = record.info.capacity;
   candidate.is_on_probation = history_.health.IsOnProbation(record.info.boot);
   candidate.speed = history_.speed.SpeedOf(record.info.boot);
+  candidate.was_reserved = history_.reserved_workers.contains(record.info.boot);
   for (const OpenRun& run : record.runs) {
     candidate.free_capacity -= run.charge;
     candidate.has_fillers |= run.is_filler;
@@ -252,28 +254,44 @@
   if (CanRequestAdvice(step)) {
     RequestAdvice(step);
   }
-  if (!eligible.empty() && IsHardToPlace(step, eligible)) {
-    Reserve(step, eligible);
+  // Capacity must not go to other work while tickets are being renewed.
+  Pool permitted = PermittedWorkers(step);
+  if (!permitted.empty() && IsHardToPlace(step, permitted)) {
+    Reserve(step, std::move(permitted));
   }
 }
 
-// Returns the workers that are permitted to run the step and could run it if
-// they were empty.
+// Returns the workers on which the step may start now and could run if they were
+// empty.
 Pool Planner::EligibleWorkers(const WaitingStep& step) {
-  Pool eligible;
+  if (!step.queue->advice.is_required) {
+    return PermittedWorkers(step);
+  }
+  return CandidatesOf(step, advice_.AllowedWorkers(step.key, now_));
+}
+
+// The same, but for tickets that must be renewed first.
+Pool Planner::PermittedWorkers(const WaitingStep& step) {
   if (step.queue->advice.is_required) {
-    for (const WorkerBoot* boot : advice_.AllowedWorkers(step.key, now_)) {
-      if (Candidate* worker = FindCandidate(*boot)) {
-        eligible.push_back(worker);
-      }
-    }
-  } else {
-    eligible = PoolOf(step);
+    return CandidatesOf(step, advice_.PermittedWorkers(step.key));
   }
-  std::erase_if(eligible, [&](const Candidate* worker) {
+  Pool permitted = PoolOf(step);
+  std::erase_if(permitted, [&](const Candidate* worker) {
     return !IsEligible(step, *worker);
   });
-  return eligible;
+  return permitted;
+}
+
+Pool Planner::CandidatesOf(const WaitingStep& step,
+                           std::span<const WorkerBoot* const> boots) {
+  Pool candidates;
+  for (const WorkerBoot* boot : boots) {
+    Candidate* worker = FindCandidate(*boot);
+    if (worker != nullptr && IsEligible(step, *worker)) {
+      candidates.push_back(worker);
+    }
+  }
+  return candidates;
 }
 
 Candidate* Planner::FindCandidate(const WorkerBoot& boot) {
@@ -316,31 +334,63 @@
   TryGang(step, eligible, "");
 }
 
+// Fills one worker after the other, because a gang ends with the first worker
+// that it loses.
 bool Planner::TryGang(const WaitingStep& step,
                       const Pool& eligible,
                       const std::string& rack) {
-  std::vector<std::pair<Candidate*, Candidate>> saved_workers;
-  std::vector<StartRun> starts;
+  Pool pool;
+  std::ranges::copy_if(eligible, std::back_inserter(pool), [&](auto* worker) {
+    return rack.empty() || worker->info().rack == rack;
+  });
+  const std::set<wire::WorkerId> failures = FailuresOfGang(step);
+  std::ranges::sort(pool, {}, [&](const Candidate* worker) {
+    return std::pair(failures.contains(worker->boot().id),
+                     CostOf(step, *worker));
+  });
   uint64_t run = 0;
   for (const TaskRecord& task : step.record->tasks) {
     run = std::max(run, task.run);
   }
-  for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
-    Candidate* worker = ChooseWorker(step, {step.key, n}, eligible, rack);
-    if (worker == nullptr) {
-      for (auto& [it, before] : saved_workers | std::views::reverse) {
-        *it = std::move(before);
-      }
-      return false;
+  const size_t members = step.record->tasks.size();
+  std::vector<std::pair<Candidate*, Candidate>> saved_workers;
+  std::vector<StartRun> starts;
+  for (Candidate* worker : pool) {
+    if (starts.size() < members && HasFreeCapacity(step, *worker)) {
+      saved_workers.emplace_back(worker, *worker);
+    }
+    while (starts.size() < members && HasFreeCapacity(step, *worker)) {
+      AddTask(step, *worker);
+      const auto index = static_cast<uint32_t>(starts.size());
+      starts.push_back({{step.key, index}, run + 1, worker->boot()});
     }
-    saved_workers.emplace_back(worker, *worker);
-    AddTask(step, *worker);
-    starts.push_back({{step.key, n}, run + 1, worker->boot()});
+  }
+  if (starts.size() < members) {
+    for (auto& [worker, before] : saved_workers) {
+      *worker = std::move(before);
+    }
+    return false;
   }
   std::ranges::move(starts, std::back_inserter(plan_.starts));
   return true;
 }
 
+// Returns the workers on which any member of the gang failed.
+std::set<wire::WorkerId> Planner::FailuresOfGang(
+    const WaitingStep& step) const {
+  std::set<wire::WorkerId> failures;
+  const auto job = history_.failed_on.find(step.key.job);
+  if (job == history_.failed_on.end()) {
+    return failures;
+  }
+  for (const auto& [task, workers] : job->second) {
+    if (task.step == step.key) {
+      failures.insert(workers.begin(), workers.end());
+    }
+  }
+  return failures;
+}
+
 // Returns the workers on which the task failed or was a straggler, or null if
 // there are none.
 const std::set<wire::WorkerId>* Planner::FailuresOf(const TaskKey& task) const {
@@ -354,18 +404,15 @@
 
 // Returns the worker with the lowest cost among those with free capacity, or
 // null if there is none. Workers on which the task failed or was a
-// straggler are used only if there is no other. An empty `rack` allows all
-// racks.
+// straggler are used only if there is no other.
 Candidate* Planner::ChooseWorker(const WaitingStep& step,
                                  const TaskKey& task,
-                                 const Pool& eligible,
-                                 const std::string& rack) const {
+                                 const Pool& eligible) const {
   const std::set<wire::WorkerId>* failures = FailuresOf(task);
   Candidate* best = nullptr;
   std::pair<bool, PlacementCost> best_cost;
   for (Candidate* worker : eligible) {
-    if (!HasFreeCapacity(step, *worker) ||
-        (!rack.empty() && worker->info().rack != rack)) {
+    if (!HasFreeCapacity(step, *worker)) {
       continue;
     }
     const bool has_failed =
@@ -397,6 +444,7 @@
     }
     reserved += worker->is_reserved ? 0 : 1;
     worker->is_reserved = true;
+    plan_.reserved_workers.insert(worker->boot());
     missing -= std::min(missing, CountFitting(step, worker->info().capacity));
   }
 }
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -34,6 +34,9 @@
   bool is_on_probation = false;  // see WorkerHealth::IsOnProbation
   SpeedClass speed = SpeedClass::kNormal;
   bool is_reserved = false;  // reserved for a step of higher rank
+  // Reserved in the last plan, and so perhaps in this one for a step that is
+  // placed later.
+  bool was_reserved = false;
   bool has_fillers = false;
   // Runs long-running tasks with a latency target.
   bool has_user_serving_tasks = false;
@@ -63,12 +66,14 @@
 
 // Cost of placing a task on a worker; the lowest is best. By order of
 // importance: avoid workers on probation, avoid interference between fillers
-// and tasks with a latency target, stay near the data, match the worker's
-// speed, pack accelerators, spread processor load.
+// and tasks with a latency target, stay near the data, leave reserved workers to
+// the steps that wait for them, match the worker's speed, pack accelerators,
+// spread processor load.
 struct PlacementCost {
   bool is_on_probation = false;
   bool has_interference = false;
   bool is_remote = false;
+  bool was_reserved = false;
   uint32_t speed_rank = 0;
   int64_t accelerators_left = 0;
   // Negated free cpu_milli, so that the emptiest worker is best.
@@ -96,6 +101,7 @@
   const WorkerHealth& health;
   const WorkerSpeed& speed;
   const FailedOn& failed_on;
+  const std::set<WorkerBoot>& reserved_workers;  // of the last plan
 };
 
 // Used for one plan. Not thread-safe. Keeps references to the constructor
@@ -128,6 +134,9 @@
 
   void PlaceStep(const WaitingStep& step);
   Pool EligibleWorkers(const WaitingStep& step);
+  Pool PermittedWorkers(const WaitingStep& step);
+  Pool CandidatesOf(const WaitingStep& step,
+                    std::span<const WorkerBoot* const> boots);
   Candidate* FindCandidate(const WorkerBoot& boot);
   const Pool& PoolOf(const WaitingStep& step);
   void PlaceTasks(const WaitingStep& step, const Pool& eligible);
@@ -135,11 +144,11 @@
   bool TryGang(const WaitingStep& step,
                const Pool& eligible,
                const std::string& rack);
+  std::set<wire::WorkerId> FailuresOfGang(const WaitingStep& step) const;
   const std::set<wire::WorkerId>* FailuresOf(const TaskKey& task) const;
   Candidate* ChooseWorker(const WaitingStep& step,
                           const TaskKey& task,
-                          const Pool& eligible,
-                          const std::string& rack = "") const;
+                          const Pool& eligible) const;
   void Reserve(const WaitingStep& step, Pool eligible);
 
   bool CanRequestAdvice(const WaitingStep& step) const;
@@ -147,6 +156,9 @@
   void AddAdviceRequest(const WaitingStep& step,
                         std::vector<AdviceCandidate> candidates,
                         size_t claimed);
+  // Whether the permitted workers could run the gang if they were empty.
+  static bool HasPermittedCapacity(const WaitingStep& step,
+                                   std::span<const AdviceCandidate> permitted);
   static size_t CountFittingTasks(std::span<const AdviceCandidate> candidates);
 
   const JobTable& table_;
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -17,6 +17,10 @@
 constexpr size_t kMinWorkersPerRequest = 16;
 constexpr size_t kWorkersPerTask = 4;
 
+// Share of a gang's size for which workers must be permitted, counting their
+// whole capacity: some of it will be in use when the rest is free.
+constexpr double kPermittedCapacityShare = 1.25;
+
 size_t CountWorkersToName(const WaitingStep& step) {
   if (step.spec->is_gang) {
     return kMaxWorkersPerRequest;
@@ -65,7 +69,15 @@
     candidates.push_back({worker, fitting});
   }
   const size_t needed = step.spec->is_gang ? step.spec->count : 1;
-  if (CountFittingTasks(allowed) >= needed) {
+  const bool needs_permits =
+      step.spec->is_gang && !allowed.empty() && !unknown.empty() &&
+      !HasPermittedCapacity(step, allowed);
+  if (needs_permits) {
+    // Waiting would not help: even if they were empty, the permitted workers
+    // could not run the gang.
+    AddAdviceRequest(step, std::move(unknown), 0);
+    plan_.advice_requests.back().has_capacity = true;
+  } else if (CountFittingTasks(allowed) >= needed) {
     AddAdviceRequest(step, std::move(allowed), needed);
   } else if (CountFittingTasks(allowed) + CountFittingTasks(unknown) >=
                  needed &&
@@ -78,6 +90,17 @@
   }
 }
 
+bool Planner::HasPermittedCapacity(
+    const WaitingStep& step,
+    std::span<const AdviceCandidate> permitted) {
+  size_t fitting = 0;
+  for (const AdviceCandidate& it : permitted) {
+    fitting += CountFitting(step, it.worker->info().capacity);
+  }
+  return static_cast<double>(fitting) >=
+         kPermittedCapacityShare * static_cast<double>(step.spec->count);
+}
+
 size_t Planner::CountFittingTasks(std::span<const AdviceCandidate> candidates) {
   size_t fitting = 0;
   for (const AdviceCandidate& it : candidates) {
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -53,9 +53,12 @@
 Plan Scheduler::MakePlan(const JobTable& table,
                          const AdviceTracker& advice,
                          const PlanSources& sources,
-                         base::Instant now) const {
-  const SchedulerHistory history{timings_, health_, speed_, failed_on_};
-  return Planner(table, advice, history, now).Make(sources);
+                         base::Instant now) {
+  const SchedulerHistory history{timings_, health_, speed_, failed_on_,
+                                 reserved_workers_};
+  Plan plan = Planner(table, advice, history, now).Make(sources);
+  reserved_workers_ = plan.reserved_workers;
+  return plan;
 }
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -52,6 +52,37 @@
     scheduler_.OnJob(job, fixture_.table.FindQueue(job.queue),
                      At(accepted_ms));
   }
+  void RequireAdvice() {
+    Batch batch;
+    batch.manifests = {fixture_.table.manifest()};
+    ++batch.manifests[0].version;
+    batch.manifests[0].queues[0].advice = {true, 500, 8, 2000};
+    fixture_.table.Apply(batch);
+  }
+  // Sends the first request of the plan and permits all workers that it names.
+  void GrantPermits(const Plan& plan, int64_t answered_ms) {
+    const auto assigned =
+        advice_.AssignQueries(plan.advice_requests, kHosts, At(answered_ms));
+    ASSERT_FALSE(assigned.empty());
+    std::vector<Permit> permits;
+    for (const wire::WorkerId& worker : assigned[0].query.workers) {
+      permits.push_back({worker, "ticket"});
+    }
+    advice_.OnAnswer(assigned[0].query.id, permits, At(answered_ms));
+  }
+  void StartAll(const Plan& plan) {
+    for (const StartRun& start : plan.starts) {
+      ASSERT_TRUE(fixture_.Start(start.task, start.run, start.worker));
+    }
+  }
+  // Adds a job that occupies the whole worker.
+  void FillWorker(const std::string& worker) {
+    const std::string job = "fills-" + worker;
+    AddJob(job, {Step(16)});
+    for (uint32_t n = 0; n < 16; ++n) {
+      ASSERT_TRUE(fixture_.Start(Task(job, 0, n), 1, Boot(worker)));
+    }
+  }
   Plan MakePlan(int64_t ms = 1) {
     return scheduler_.MakePlan(fixture_.table, advice_,
                                Sources(fixture_.table, usable_), At(ms));
@@ -113,6 +144,85 @@
   EXPECT_EQ(plan.starts.size(), 6U) << "one worker is reserved for the gang";
 }
 
+// A gang ends with the first worker that it loses.
+TEST_F(SchedulerTest, AGangUsesFewWorkers) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    AddWorker(Worker(name));
+  }
+  StepSpec gang = Step(8);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 4000;
+  AddJob("gang", {gang});
+  const Plan plan = MakePlan();
+  ASSERT_EQ(plan.starts.size(), 8U);
+  std::set<WorkerBoot> used;
+  for (const StartRun& start : plan.starts) {
+    used.insert(start.worker);
+  }
+  EXPECT_EQ(used.size(), 2U);
+}
+
+// Steady short work beside wide gangs: a ticket expires before the permitted
+// workers are free, and renewing it takes as long as a short task.
+TEST_F(SchedulerTest, AGangKeepsItsReservationWhenItsTicketsHaveExpired) {
+  RequireAdvice();
+  for (const char* name : {"a", "b", "c", "d"}) {
+    AddWorker(Worker(name));
+    FillWorker(name);
+  }
+  StepSpec gang = Step(2);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("gang", {gang});
+  GrantPermits(MakePlan(12), 20);
+  EXPECT_EQ(MakePlan(30).reserved_workers.size(), 2U);
+  EXPECT_EQ(MakePlan(5000).reserved_workers.size(), 2U)
+      << "the tickets expired at 2020 ms";
+}
+
+TEST_F(SchedulerTest, AGangThatCannotFitOnPermittedWorkersAsksAboutOthers) {
+  RequireAdvice();
+  for (int n = 0; n < 60; ++n) {
+    const std::string name = "w" + std::to_string(n);
+    AddWorker(Worker(name));
+    FillWorker(name);
+  }
+  StepSpec gang = Step(40);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("gang", {gang});
+  GrantPermits(MakePlan(12), 20);
+  const Plan plan = MakePlan(30);
+  ASSERT_FALSE(plan.advice_requests.empty());
+  const AdviceRequest& request = plan.advice_requests.back();
+  EXPECT_EQ(request.step.job, wire::JobId("gang"));
+  EXPECT_TRUE(request.has_capacity);
+  EXPECT_EQ(advice_.StatusOf(request.step, request.candidates.at(0)),
+            AdviceStatus::kUnknown);
+}
+
+// Work of a higher priority is placed first and would otherwise choose the
+// workers that have been emptied for a gang.
+TEST_F(SchedulerTest, OtherWorkAvoidsWorkersThatAreReserved) {
+  for (const char* name : {"a", "b"}) {
+    AddWorker(Worker(name));
+  }
+  AddJob("first", {Step(16)});
+  StartAll(MakePlan());
+  StepSpec gang = Step(1);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("gang", {gang});
+  const Plan before = MakePlan();
+  ASSERT_EQ(before.reserved_workers.size(), 1U);
+  StepSpec urgent = Step(1);
+  urgent.estimate_ms = 1;
+  AddJob("urgent", {urgent});
+  const Plan plan = MakePlan();
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_FALSE(before.reserved_workers.contains(plan.starts[0].worker));
+}
+
 // Urgent jobs have several short steps, each of which would wait for the
 // placement service.
 TEST_F(SchedulerTest, RequestsAdviceForTheNextStepWhileTheCurrentOneRuns) {
