Job queues: a large fleet is called through the other control hosts

Change: above 200 workers RelayedLink sends starts, stops and holds in batches to the other control hosts, whose RelayHost carries them out; any control host answers a heartbeat that changes nothing and reports it five times a second; links between processes without open calls are quiet; the peer service of sassafras-jobd runs on the control thread; 500 decision lines of a kind a second are written and the rest is counted; the log is flushed before a process ends for its storage.

--- a/daemon/src/jobd_main.cc
+++ b/daemon/src/jobd_main.cc
@@ -47,6 +47,9 @@
 
 constexpr std::string_view kVersion = "sassafras-jobd 0.1.0";
 constexpr auto kLogPeriod = std::chrono::milliseconds(200);
+// Decision lines of one kind a second. Above it a line costs work that callers
+// wait for.
+constexpr uint32_t kMaxDecisionRate = 500;
 constexpr int kExitUsage = 2;
 constexpr int kExitFailed = 1;
 
@@ -106,8 +109,10 @@
 void AddServices(Process& process) {
   const Settings& settings = process.settings;
   sas::kernel::Kernel& kernel = *process.kernel;
-  auto peer_service =
-      std::make_unique<sas::cluster::PeerService>(settings, kernel);
+  // On the control thread, where each call ends up: a process has one core, and
+  // a change of thread costs as much as a short call.
+  auto peer_service = std::make_unique<sas::cluster::PeerService>(
+      settings, kernel.control());
   std::unique_ptr<ControlNode> control;
   sas::cluster::LocalHandler local;
   if (settings.IsControlReplica()) {
@@ -189,6 +194,7 @@
 }
 
 void FlushLogs(boost::asio::steady_timer& timer) {
+  sas::telemetry::ReportOmittedDecisions();
   sas::telemetry::FlushLog();
   timer.expires_after(kLogPeriod);
   timer.async_wait([&timer](auto ec) {
@@ -206,6 +212,7 @@
   WatchSignals(signals, process, path);
   boost::asio::steady_timer log_timer(process.kernel->control());
   FlushLogs(log_timer);
+  sas::telemetry::LimitDecisions(kMaxDecisionRate);
   Decision("begin")
       .With("name", settings.process.name)
       .With("zone", settings.process.zone)
--- a/daemon/src/main.cc
+++ b/daemon/src/main.cc
@@ -69,7 +69,7 @@
                  Peers& peers,
                  std::unique_ptr<Client>& client,
                  sassafras::telemetry::Metrics& metrics) {
-  auto peer_service = std::make_unique<PeerService>(settings, kernel);
+  auto peer_service = std::make_unique<PeerService>(settings, kernel.traffic());
   PeerService& peer = *peer_service;
   ReplicaService* replica = nullptr;
   LeaderService* leader = nullptr;
--- a/libs/cluster/include/cluster/peers.h
+++ b/libs/cluster/include/cluster/peers.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include "kernel/kernel.h"
 #include "peer/channel.h"
@@ -66,7 +67,9 @@
 // Accepts calls from the other processes and routes them to handlers.
 class PeerService : public kernel::Service {
  public:
-  PeerService(const settings::Settings& settings, kernel::Kernel& kernel);
+  // Connections are served on `context`, which must outlive the service.
+  PeerService(const settings::Settings& settings,
+              boost::asio::io_context& context);
   ~PeerService() override;
 
   // Registers the handler of `method`, which runs on `executor`. Must be called
@@ -86,7 +89,7 @@
   };
 
   const settings::Settings& settings_;
-  kernel::Kernel& kernel_;
+  boost::asio::io_context& context_;
   std::map<std::string, Route> routes_;  // by method; constant after Start()
   std::unique_ptr<peer::Server> server_;
 };
--- a/libs/cluster/src/peers.cc
+++ b/libs/cluster/src/peers.cc
@@ -79,8 +79,8 @@
 }
 
 PeerService::PeerService(const settings::Settings& settings,
-                         kernel::Kernel& kernel)
-    : settings_(settings), kernel_(kernel) {}
+                         boost::asio::io_context& context)
+    : settings_(settings), context_(context) {}
 
 PeerService::~PeerService() = default;
 
@@ -98,7 +98,7 @@
   options.secret = settings_.cluster.secret;
   peer::ServerReason reason;
   server_ = peer::Server::Create(
-      kernel_.traffic(), std::move(options),
+      context_, std::move(options),
       [this](const std::string& method, std::string body,
              const peer::Respond& respond) {
         const auto it = routes_.find(method);
--- a/libs/cluster/src/replica_driver.cc
+++ b/libs/cluster/src/replica_driver.cc
@@ -26,8 +26,12 @@
 // its leader or its followers meanwhile.
 constexpr size_t kApplyBatchBytes = 64 << 10;
 
-using telemetry::Log;
-using telemetry::LogLevel;
+// Exits at once, without cleanup, as in a crash; only the reason is written.
+[[noreturn]] void ExitAfterFailure(const std::string& reason) {
+  telemetry::Log(telemetry::LogLevel::kError, reason);
+  telemetry::FlushLog();
+  std::_Exit(kExitStorageFailed);
+}
 
 }  // namespace
 
@@ -88,12 +92,9 @@
       }
     });
   };
-  // A replica that can't write its log must not take part in the group. The
-  // process exits at once, without cleanup, as in a crash.
+  // A replica that can't write its log must not take part in the group.
   callbacks.on_failed = [](const std::string& message) {
-    Log(LogLevel::kError,
-        "the replica's log can't be written; exiting: " + message);
-    std::_Exit(kExitStorageFailed);
+    ExitAfterFailure("the replica's log can't be written; exiting: " + message);
   };
   journal_ = std::make_unique<JournalThread>(
       std::move(journal), std::move(callbacks), journal_write);
@@ -282,8 +283,8 @@
     const consensus::Snapshot& snapshot) {
   std::string why;
   if (!state_.Restore(*snapshot.bytes, why)) {
-    Log(LogLevel::kError, "installed snapshot can't be restored: " + why);
-    std::_Exit(kExitStorageFailed);
+    ExitAfterFailure("the installed snapshot can't be restored; exiting: " +
+                     why);
   }
 }
 
--- a/libs/jobcontrol/include/jobcontrol/control_node.h
+++ b/libs/jobcontrol/include/jobcontrol/control_node.h
@@ -11,6 +11,7 @@
 
 #include "cluster/client.h"
 #include "cluster/peers.h"
+#include "jobcontrol/messages.h"
 #include "jobcontrol/worker_link.h"
 #include "kernel/kernel.h"
 #include "settings/settings.h"
@@ -37,9 +38,15 @@
   // Sets the client that sends this host's hello and join calls. Must be called
   // before Start().
   void SetClient(cluster::Client& client);
-  // Returns the address at which the leader accepts worker heartbeats, or
-  // nullopt while no leader is known. Must be called on the control thread.
-  std::optional<settings::Endpoint> LeaderEndpoint() const;
+  // Handles a worker's heartbeat, here or on the leader. Must be called on the
+  // control thread.
+  void OnHeartbeat(const WorkerHeartbeat& heartbeat,
+                   base::Duration timeout,
+                   const cluster::ReplyDone& done);
+  // Returns the address to which the worker should send its heartbeats, or
+  // nullopt if any control host will do. Must be called on the control thread.
+  std::optional<settings::Endpoint> HeartbeatEndpoint(
+      const wire::WorkerId& worker) const;
 
   std::string_view name() const override { return "control"; }
   bool Start(kernel::KernelReason& why) override;
--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -77,6 +77,8 @@
   // Updates the worker's session and records its description if it changed.
   // Without a change `done` runs at once, otherwise after the recording.
   void OnHeartbeat(jobs::WorkerInfo worker, int64_t clock_ms, RecordDone done);
+  // Another control host has answered a heartbeat that changed nothing.
+  void OnHeard(const jobs::WorkerBoot& worker, int64_t clock_ms);
   // Removes a worker whose process is exiting and runs no tasks any more.
   void OnLeave(const jobs::WorkerBoot& worker, RecordDone done);
 
@@ -137,6 +139,7 @@
   std::vector<RecordDone> batch_callbacks_;  // called once `batch_` is recorded
   bool is_recording_ = false;                // at most one batch is in flight
   bool needs_plan_ = true;  // the state changed since the last plan
+  base::Instant next_plan_;  // not earlier than this
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
   // Whether a pass over all sessions is in progress, and the last worker that
   // it has called; empty before the first.
--- a/libs/jobcontrol/include/jobcontrol/messages.h
+++ b/libs/jobcontrol/include/jobcontrol/messages.h
@@ -27,6 +27,8 @@
 inline constexpr std::string_view kGetMethod = "manifest-get";   // empty object
 // WorkerHeartbeat
 inline constexpr std::string_view kHeartbeatMethod = "worker-heartbeat";
+// vector<HeardWorker>
+inline constexpr std::string_view kHeardMethod = "workers-heard";
 inline constexpr std::string_view kLeaveMethod = "worker-leave";  // WorkerBoot
 inline constexpr std::string_view kHelloMethod = "hello";         // Hello
 inline constexpr std::string_view kJoinMethod = "join";           // Member
@@ -65,6 +67,14 @@
                                                 worker,
                                                 clock_ms)
 
+// A heartbeat that another control host has answered, because it changed
+// nothing.
+struct HeardWorker {
+  jobs::WorkerBoot boot;
+  int64_t clock_ms = 0;
+};
+WIRE_DEFINE_ARRAY(HeardWorker, boot, clock_ms)
+
 // Sent periodically to the leader by every control host and entry.
 struct Hello {
   wire::EntryId name;            // peer address of the sender
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -14,8 +14,11 @@
 #include "cluster/replica_driver.h"
 #include "jobcontrol/advice_host.h"
 #include "jobcontrol/leader.h"
+#include "heard_workers.h"
 #include "jobcontrol/membership.h"
 #include "jobcontrol/messages.h"
+#include "relay_host.h"
+#include "relayed_link.h"
 #include "telemetry/decision.h"
 #include "telemetry/log.h"
 #include "wire/codec.h"
@@ -27,6 +30,10 @@
 constexpr auto kHelloPeriod = std::chrono::milliseconds(500);
 constexpr auto kHelloTimeout = std::chrono::milliseconds(1500);
 constexpr auto kConsensusCallTimeout = std::chrono::seconds(1);
+// A relay answers each request within a quarter of a second.
+constexpr auto kRelayTimeout = std::chrono::milliseconds(700);
+// How often the leader hears of heartbeats that other control hosts answered.
+constexpr auto kHeardPeriod = std::chrono::milliseconds(200);
 // Hosts that sent no hello for this long get no placement queries.
 constexpr auto kAdviserTimeout = std::chrono::milliseconds(1500);
 // A voter that sent no hello for this long may be removed. Also the minimum
@@ -76,12 +83,27 @@
       : settings_(settings),
         kernel_(kernel),
         peers_(peers),
-        workers_(workers),
+        direct_link_(workers),
+        worker_link_(RelayedLink::Create(
+            kernel.control(),
+            workers,
+            [&peers](const wire::EntryId& host, std::string body,
+                     RelayedLink::RelayDone done) {
+              peers.Call(host, kRelayMethod, std::move(body), kRelayTimeout,
+                         [done = std::move(done)](auto reply, const auto&) {
+                           done(std::move(reply));
+                         });
+            })),
+        relay_host_(RelayHost::Create(
+            kernel.control(),
+            workers,
+            [this] { return replica().GetTerm().value(); })),
         metrics_(metrics),
         leader_metrics_(metrics),
         self_(settings.peer.ToString()),
         timer_(kernel.control()),
-        hello_timer_(kernel.control()) {}
+        hello_timer_(kernel.control()),
+        heard_timer_(kernel.control()) {}
 
   bool Open(kernel::KernelReason& why) {
     cluster::DriverOptions options;
@@ -111,12 +133,16 @@
     }
     Tick();
     SendHello();
+    ReportHeardWorkers();
   }
 
   void Close() {
     leader_.reset();
     timer_.cancel();
     hello_timer_.cancel();
+    heard_timer_.cancel();
+    worker_link_->EndTerm();
+    relay_host_->Close();
     driver_->Close();
   }
 
@@ -136,13 +162,29 @@
     driver_->Receive(*std::move(message));
   }
 
-  std::optional<settings::Endpoint> LeaderEndpoint() const {
-    const auto endpoint =
-        settings::Endpoint::FromText(replica().Leader().name.str());
-    if (!endpoint) {
-      return std::nullopt;
+  RelayHost& relay_host() { return *relay_host_; }
+
+  void OnHeartbeat(const WorkerHeartbeat& heartbeat,
+                   base::Duration timeout,
+                   const cluster::ReplyDone& done) {
+    const bool follows = !leader_ && !replica().Leader().name.empty();
+    if (follows && heard_workers_.Take(table_, heartbeat)) {
+      done(MakeReply(wire::ReplyStatus::kOk));
+      return;
     }
-    return settings::Endpoint{endpoint->address, settings_.jobs.control.port};
+    client_->Call(std::string(kHeartbeatMethod), heartbeat, timeout,
+                  cluster::Resend::kYes, done);
+  }
+
+  // In a large fleet the leader passes its share of the heartbeats on, and each
+  // other control host keeps those that it gets.
+  std::optional<settings::Endpoint> HeartbeatEndpoint(
+      const wire::WorkerId& worker) const {
+    if (!worker_link_->IsLarge(table_.workers().size())) {
+      return ControlEndpointOf(replica().Leader().name);
+    }
+    return ControlEndpointOf(
+        leader_ ? worker_link_->RelayFor(worker).value_or(self_) : self_);
   }
 
   void Handle(const std::string& method,
@@ -221,6 +263,11 @@
     replica_last_seen_.clear();
     last_role_change_ = Now();
     is_leading_ = change.role == consensus::Role::kLeader;
+    worker_link_->EndTerm();
+    if (is_leading_) {
+      SetFleet();
+      worker_link_->BeginTerm(replica().GetTerm().value());
+    }
   }
 
   void Send(const consensus::Message& message) override {
@@ -245,7 +292,7 @@
     });
   }
 
-  WorkerLink& workers() override { return workers_; }
+  WorkerLink& workers() override { return *worker_link_; }
 
   std::vector<wire::EntryId> LiveAdvisers(base::Instant now) override {
     std::vector<wire::EntryId> advisers{self_};
@@ -262,7 +309,7 @@
                    base::Duration timeout,
                    AdviceDone done) override {
     if (host == self_) {
-      workers_.QueryAdvice(query, timeout, std::move(done));
+      direct_link_.QueryAdvice(query, timeout, std::move(done));
       return;
     }
     peers_.Call(
@@ -295,7 +342,8 @@
             {std::string(kCountMethod), &Impl::CountWaitingJobs},
             {std::string(kPutMethod), &Impl::PutManifest},
             {std::string(kGetMethod), &Impl::GetManifest},
-            {std::string(kHeartbeatMethod), &Impl::OnHeartbeat},
+            {std::string(kHeartbeatMethod), &Impl::OnForwardedHeartbeat},
+            {std::string(kHeardMethod), &Impl::OnHeard},
             {std::string(kLeaveMethod), &Impl::OnLeave},
             {std::string(kHelloMethod), &Impl::OnHello},
             {std::string(kJoinMethod), &Impl::Join},
@@ -398,12 +446,34 @@
     });
   }
 
-  void OnHeartbeat(const nlohmann::json& body, const cluster::ReplyDone& done) {
+  void OnForwardedHeartbeat(const nlohmann::json& body,
+                            const cluster::ReplyDone& done) {
     const auto heartbeat = body.get<WorkerHeartbeat>();
     leader_->OnHeartbeat(heartbeat.worker, heartbeat.clock_ms,
                          ReplyWhenRecorded(done));
   }
 
+  void OnHeard(const nlohmann::json& body, const cluster::ReplyDone& done) {
+    for (const auto& it : body.get<std::vector<HeardWorker>>()) {
+      leader_->OnHeard(it.boot, it.clock_ms);
+    }
+    done(MakeReply(wire::ReplyStatus::kOk));
+  }
+
+  void ReportHeardWorkers() {
+    const auto report = heard_workers_.TakeReport();
+    if (!report.empty()) {
+      client_->Call(std::string(kHeardMethod), report, kHeardPeriod,
+                    cluster::Resend::kYes, [](const auto&) {});
+    }
+    heard_timer_.expires_after(kHeardPeriod);
+    heard_timer_.async_wait([self = shared_from_this()](auto ec) {
+      if (!ec) {
+        self->ReportHeardWorkers();
+      }
+    });
+  }
+
   void OnLeave(const nlohmann::json& body, const cluster::ReplyDone& done) {
     leader_->OnLeave(body.get<jobs::WorkerBoot>(), ReplyWhenRecorded(done));
   }
@@ -456,6 +526,9 @@
     if (is_leading_ && !leader_ && driver_->IsReadyToLead()) {
       BeginTerm();
     }
+    if (is_leading_) {
+      SetFleet();
+    }
     if (leader_) {
       leader_->Tick();
       RemoveLostVoter();
@@ -468,6 +541,26 @@
     });
   }
 
+  // Tells the link to workers how large the fleet is and who can relay.
+  void SetFleet() {
+    std::vector<wire::EntryId> others;
+    for (const consensus::Member& member : replica().GetMembership().voters) {
+      if (member.id != replica().Self().id) {
+        others.push_back(member.name);
+      }
+    }
+    worker_link_->SetFleet(others, table_.workers().size());
+  }
+
+  std::optional<settings::Endpoint> ControlEndpointOf(
+      const wire::EntryId& host) const {
+    const auto endpoint = settings::Endpoint::FromText(host.str());
+    if (!endpoint) {
+      return std::nullopt;
+    }
+    return settings::Endpoint{endpoint->address, settings_.jobs.control.port};
+  }
+
   void BeginTerm() {
     LeaderOptions options;
     options.term = replica().GetTerm().value();
@@ -535,12 +628,16 @@
   const settings::Settings& settings_;
   kernel::Kernel& kernel_;
   cluster::Peers& peers_;
-  WorkerLink& workers_;
+  WorkerLink& direct_link_;
+  const std::unique_ptr<RelayedLink> worker_link_;
+  const std::shared_ptr<RelayHost> relay_host_;
+  HeardWorkers heard_workers_;
   telemetry::Metrics& metrics_;
   const LeaderMetrics leader_metrics_;
   const wire::EntryId self_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer hello_timer_;
+  boost::asio::steady_timer heard_timer_;
   cluster::Client* client_ = nullptr;
   std::shared_ptr<cluster::ReplicaDriver> driver_;  // set by Open()
   jobs::JobTable table_;
@@ -574,9 +671,14 @@
         respond(200, "");
         impl->Receive(body);
       });
+  peer_service.Register(
+      std::string(kRelayMethod), executor,
+      [impl = impl_](const std::string& body, const peer::Respond& respond) {
+        impl->relay_host().Handle(body, respond);
+      });
   for (const auto method :
        {kSubmitMethod, kStateMethod, kCancelMethod, kCountMethod, kPutMethod,
-        kGetMethod, kHeartbeatMethod, kLeaveMethod, kHelloMethod,
+        kGetMethod, kHeartbeatMethod, kHeardMethod, kLeaveMethod, kHelloMethod,
         kJoinMethod}) {
     const std::string name(method);
     peer_service.Register("control/" + name, executor,
@@ -609,8 +711,15 @@
   impl_->SetClient(client);
 }
 
-std::optional<settings::Endpoint> ControlNode::LeaderEndpoint() const {
-  return impl_->LeaderEndpoint();
+void ControlNode::OnHeartbeat(const WorkerHeartbeat& heartbeat,
+                              base::Duration timeout,
+                              const cluster::ReplyDone& done) {
+  impl_->OnHeartbeat(heartbeat, timeout, done);
+}
+
+std::optional<settings::Endpoint> ControlNode::HeartbeatEndpoint(
+    const wire::WorkerId& worker) const {
+  return impl_->HeartbeatEndpoint(worker);
 }
 
 bool ControlNode::Start(kernel::KernelReason& why) {
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -17,6 +17,9 @@
 
 // Added to the placement service's own expected time to answer a query.
 constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(600);
+// After a plan, this multiple of the time that it took belongs to other work, so
+// that a leader with a long backlog still hears its workers.
+constexpr int kPlanPause = 2;
 
 }  // namespace
 
@@ -118,6 +121,12 @@
   Flush();
 }
 
+void Leader::OnHeard(const jobs::WorkerBoot& worker, int64_t clock_ms) {
+  if (jobs::WorkerSession* session = FindSession(worker)) {
+    session->OnHeard(clock_ms, context_.Now());
+  }
+}
+
 void Leader::OnLeave(const jobs::WorkerBoot& worker, RecordDone done) {
   batch_.removed_workers.push_back(worker);
   batch_callbacks_.push_back(std::move(done));
@@ -132,9 +141,12 @@
   if (is_recording_) {
     return;
   }
-  if (needs_plan_) {
+  const base::Instant now = context_.Now();
+  if (needs_plan_ && now >= next_plan_) {
     needs_plan_ = false;
     PlanStarts();
+    const base::Instant end = context_.Now();
+    next_plan_ = end + kPlanPause * (end - now);
   }
   if (batch_.IsEmpty()) {
     return;
--- /dev/null
+++ b/libs/jobcontrol/src/relay_messages.cc
@@ -0,0 +1,97 @@
+// Conversion between worker calls and the messages that carry them.
+
+#include "relay_messages.h"
+
+#include <utility>
+#include <variant>
+
+namespace sassafras::jobcontrol {
+
+RelayedTarget ToRelayedTarget(const jobs::WorkerInfo& worker) {
+  return {worker.boot, worker.address, worker.port};
+}
+
+jobs::WorkerInfo ToWorkerInfo(const RelayedTarget& target) {
+  jobs::WorkerInfo worker;
+  worker.boot = target.boot;
+  worker.address = target.address;
+  worker.port = target.port;
+  return worker;
+}
+
+RelayedOrder ToRelayedOrder(RelayedCallId id,
+                            const jobs::WorkerInfo& worker,
+                            const jobs::OrderCall& call) {
+  RelayedOrder relayed;
+  relayed.id = id;
+  relayed.target = ToRelayedTarget(worker);
+  relayed.lease_until_ms = call.lease_until_ms;
+  std::visit(
+      [&](const auto& order) {
+        relayed.task = order.task;
+        relayed.run = order.run;
+      },
+      call.order);
+  if (const auto* start = std::get_if<jobs::StartOrder>(&call.order)) {
+    relayed.kind = RelayedOrderKind::kStart;
+    relayed.payload = start->payload;
+    relayed.checkpoint = start->checkpoint;
+    relayed.ticket = start->ticket;
+  } else if (const auto* pace = std::get_if<jobs::PaceOrder>(&call.order)) {
+    relayed.kind = RelayedOrderKind::kPace;
+    relayed.percent = pace->percent;
+  } else {
+    relayed.kind = RelayedOrderKind::kStop;
+  }
+  return relayed;
+}
+
+jobs::OrderCall ToOrderCall(const RelayedOrder& order) {
+  jobs::OrderCall call;
+  call.id = order.id;
+  call.lease_until_ms = order.lease_until_ms;
+  switch (order.kind) {
+    case RelayedOrderKind::kStart:
+      call.order = jobs::StartOrder{order.task, order.run, order.payload,
+                                    order.checkpoint, order.ticket};
+      break;
+    case RelayedOrderKind::kStop:
+      call.order = jobs::StopOrder{order.task, order.run};
+      break;
+    case RelayedOrderKind::kPace:
+      call.order = jobs::PaceOrder{order.task, order.run, order.percent};
+      break;
+  }
+  return call;
+}
+
+RelayedOrderReply ToRelayedReply(RelayedCallId id,
+                                 const jobs::OrderReply& reply) {
+  RelayedOrderReply relayed{id, reply.result, {}};
+  if (reply.clock_ms) {
+    relayed.clock_ms.push_back(*reply.clock_ms);
+  }
+  return relayed;
+}
+
+jobs::OrderReply ToOrderReply(const RelayedOrderReply& reply) {
+  jobs::OrderReply order_reply;
+  order_reply.result = reply.result;
+  if (!reply.clock_ms.empty()) {
+    order_reply.clock_ms = reply.clock_ms.front();
+  }
+  return order_reply;
+}
+
+RelayedHoldReply ToRelayedReply(RelayedCallId id,
+                                const jobs::HoldReply& reply) {
+  return {id,           reply.is_answered, reply.is_refused, reply.clock_ms,
+          reply.running, reply.ended};
+}
+
+jobs::HoldReply ToHoldReply(const RelayedHoldReply& reply) {
+  return {reply.is_answered, reply.is_refused, reply.clock_ms, reply.running,
+          reply.ended};
+}
+
+}  // namespace sassafras::jobcontrol
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -18,6 +18,7 @@
 #include "jobs/job_table.h"
 #include "jobs/lease.h"
 #include "jobs/types.h"
+#include "wire/array_json.h"
 
 namespace sassafras::jobs {
 
@@ -85,6 +86,7 @@
   // serves users, else the processor use in thousandths of a core.
   int64_t latency_or_cpu = 0;
 };
+WIRE_DEFINE_ARRAY(RunReport, task, run, checkpoint, percent, latency_or_cpu)
 struct EndReport {
   uint64_t number = 0;  // position among the run ends of this boot, from 1
   TaskKey task;
@@ -92,6 +94,7 @@
   RunOutcome outcome = RunOutcome::kStopped;
   std::string checkpoint;
 };
+WIRE_DEFINE_ARRAY(EndReport, number, task, run, outcome, checkpoint)
 struct HoldReply {
   bool is_answered = false;  // a valid reply by the expected boot was received
   // Connection refused: nothing listens at the worker's address.
@@ -126,6 +129,8 @@
   const WorkerInfo& info() const { return info_; }
 
   void OnHeartbeat(const WorkerInfo& info, int64_t clock_ms, base::Instant now);
+  // The worker sent a heartbeat that changed nothing, some time before `now`.
+  void OnHeard(int64_t clock_ms, base::Instant now);
 
   void Start(StartOrder order);
   // Stops a run. If its start was never sent, the run ends at once and its end
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -49,6 +49,12 @@
                                 int64_t clock_ms,
                                 base::Instant now) {
   info_ = info;
+  OnHeard(clock_ms, now);
+}
+
+// A clock reading that took its time only makes the estimate of the worker's
+// clock lag, which delays the end of a lease here and never there.
+void WorkerSession::OnHeard(int64_t clock_ms, base::Instant now) {
   refused_since_.reset();
   lease_.OnClock(now, clock_ms);
 }
--- a/libs/peer/include/peer/channel.h
+++ b/libs/peer/include/peer/channel.h
@@ -37,8 +37,15 @@
   std::string address;  // IP number
   uint16_t port = 0;
   std::string secret;  // of the cluster, sent with each call
+  // While calls are open, a ping is sent when nothing arrived or was sent for
+  // this long.
   base::Duration heartbeat = std::chrono::milliseconds(200);
-  // A connection on which nothing arrived for this long is dropped.
+  // The same without open calls. Must be well below the server's limit for
+  // idle connections.
+  base::Duration idle_heartbeat = std::chrono::milliseconds(1000);
+  base::Duration idle_silence_limit = std::chrono::milliseconds(2500);
+  // A connection on which nothing arrived for this long while calls were open
+  // is dropped.
   base::Duration silence_limit = std::chrono::milliseconds(800);
   base::Duration connect_limit = std::chrono::milliseconds(800);
   base::Duration redial_pause = std::chrono::milliseconds(50);
--- a/libs/peer/include/peer/server.h
+++ b/libs/peer/include/peer/server.h
@@ -43,8 +43,11 @@
   uint16_t port = 0;    // 0: any free port
   std::string secret;   // calls without it are refused with status 403
   size_t max_body_bytes = 64 << 20;
-  // A connection on which nothing arrived for this long is dropped.
+  // A connection on which nothing arrived for this long while calls were open
+  // is dropped.
   base::Duration silence_limit = std::chrono::milliseconds(800);
+  // The same without open calls; their callers send pings less often.
+  base::Duration idle_silence_limit = std::chrono::milliseconds(4000);
 };
 
 class Server {
--- a/libs/peer/src/channel.cc
+++ b/libs/peer/src/channel.cc
@@ -25,6 +25,8 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(50);
+// Of a channel without calls: a process may hold hundreds of these.
+constexpr auto kIdleTickPeriod = std::chrono::milliseconds(500);
 
 struct PendingCall {
   uint64_t number = 0;  // of this channel
@@ -86,12 +88,21 @@
                 MakeReason(CallError::kNotSent, "the channel was closed"));
       return;
     }
+    const bool was_idle = IsIdle();
     if (link_) {
       Send(std::move(call));
-      return;
+    } else {
+      waiting_.push_back(std::move(call));
+      Dial();
+    }
+    if (was_idle) {
+      last_call_began_ = SteadyClock::now();
+      ArmTick();
     }
-    waiting_.push_back(std::move(call));
-    Dial();
+  }
+
+  bool IsIdle() const {
+    return sent_.empty() && waiting_.empty() && !is_dialling_;
   }
 
   void Send(PendingCall call) {
@@ -103,6 +114,7 @@
       return;
     }
     sent_.emplace(stream, std::move(call));
+    last_sent_ = SteadyClock::now();
     link_->Flush();
   }
 
@@ -249,7 +261,11 @@
     if (!link_ && !waiting_.empty()) {
       Dial();
     }
-    tick_timer_.expires_after(kTickPeriod);
+    ArmTick();
+  }
+
+  void ArmTick() {
+    tick_timer_.expires_after(IsIdle() ? kIdleTickPeriod : kTickPeriod);
     tick_timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) {
         self->Tick();
@@ -268,12 +284,23 @@
     if (!link_) {
       return;
     }
-    if (now - link_->last_receive() > options_.silence_limit) {
+    const bool is_idle = IsIdle();
+    const auto limit =
+        is_idle ? options_.idle_silence_limit : options_.silence_limit;
+    // An idle link is quiet, so its silence counts from the first call on.
+    const auto heard =
+        is_idle ? link_->last_receive()
+                : std::max(link_->last_receive(), last_call_began_);
+    if (now - heard > limit) {
       DropLink("the connection went silent");
       return;
     }
-    if (now - last_ping_ >= options_.heartbeat) {
+    const auto period =
+        is_idle ? options_.idle_heartbeat : options_.heartbeat;
+    const auto last_traffic = std::min(link_->last_receive(), last_sent_);
+    if (now - std::max(last_ping_, last_traffic) >= period) {
       last_ping_ = now;
+      last_sent_ = now;
       link_->session().SubmitPing();
       link_->Flush();
     }
@@ -324,6 +351,8 @@
   SteadyClock::time_point dial_deadline_;
   SteadyClock::time_point next_dial_;
   SteadyClock::time_point last_ping_;
+  SteadyClock::time_point last_sent_;  // of calls and pings
+  SteadyClock::time_point last_call_began_;  // when the channel became busy
 };
 
 Channel::Channel(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/libs/peer/src/server.cc
+++ b/libs/peer/src/server.cc
@@ -24,6 +24,7 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr auto kSilenceCheckPeriod = std::chrono::milliseconds(100);
+constexpr auto kIdleCheckPeriod = std::chrono::milliseconds(1000);
 
 bool IsSameSecret(const std::string& a, const std::string& b) {
   return a.size() == b.size() &&
@@ -85,13 +86,17 @@
   }
 
   void WatchSilence() {
-    timer_.expires_after(kSilenceCheckPeriod);
+    const bool is_idle = watches_.empty();
+    timer_.expires_after(is_idle ? kIdleCheckPeriod : kSilenceCheckPeriod);
     timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (ec || !self->link_) {
         return;
       }
       const auto silence = SteadyClock::now() - self->link_->last_receive();
-      if (silence > self->options_.silence_limit) {
+      const auto limit = self->watches_.empty()
+                             ? self->options_.idle_silence_limit
+                             : self->options_.silence_limit;
+      if (silence > limit) {
         self->End();
         return;
       }
--- a/libs/telemetry/include/telemetry/decision.h
+++ b/libs/telemetry/include/telemetry/decision.h
@@ -19,6 +19,14 @@
 // everything outside printable ASCII escaped. Cut at 256 bytes.
 std::string QuoteValue(std::string_view text);
 
+// Limits the decision lines of each kind to `lines_per_second` from now on, so
+// that the log costs a bounded share of the processor under load. Each second's
+// omitted lines are counted, and a line "left-out" tells how many of which kind
+// they were. 0 removes the limit, as at the start. Thread-safe.
+void LimitDecisions(uint32_t lines_per_second);
+// Writes the counts of lines omitted in past seconds. To be called now and then.
+void ReportOmittedDecisions();
+
 // Builds a line such as `decision=route request=r1 upstream=u2 took_us=31`.
 // Values come from outside and may be hostile: they can't add a key or a
 // line. Keys are literals of the code. Not thread-safe; Write() may be called
@@ -50,15 +58,17 @@
     return WithBare(key, std::to_string(value.count()));
   }
 
+  // Empty if the line is omitted.
   const std::string& Line() const { return line_; }
 
-  // Hands the line to the log at level info.
+  // Hands the line to the log at level info, unless it is omitted.
   void Write() const;
 
  private:
   Decision& WithBare(std::string_view key, std::string_view value);
 
   std::string line_;  // invariant: printable ASCII, no line break
+  bool is_omitted_ = false;
 };
 
 }  // namespace sassafras::telemetry
--- a/libs/telemetry/src/decision.cc
+++ b/libs/telemetry/src/decision.cc
@@ -3,8 +3,11 @@
 #include "telemetry/decision.h"
 
 #include <algorithm>
+#include <chrono>
+#include <mutex>
 
 #include "escape.h"
+#include "line_budget.h"
 #include "telemetry/log.h"
 
 namespace sassafras::telemetry {
@@ -13,6 +16,22 @@
 
 constexpr size_t kMaxValueBytes = 256;
 
+// The budget of the process and what guards it.
+struct SharedBudget {
+  std::mutex mutex;
+  LineBudget budget{0};
+};
+
+SharedBudget& Shared() {
+  static auto* const shared = new SharedBudget;
+  return *shared;
+}
+
+base::Instant Now() {
+  return base::Instant(std::chrono::duration_cast<base::Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 bool IsBareCharacter(char c) {
   constexpr std::string_view kPunctuation = "._:/@+-";
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -32,11 +51,35 @@
   return "\"" + EscapeQuoted(cut) + std::string(mark) + "\"";
 }
 
-Decision::Decision(std::string_view kind)
-    : line_("decision=" + QuoteValue(kind)) {}
+void LimitDecisions(uint32_t lines_per_second) {
+  SharedBudget& shared = Shared();
+  const std::lock_guard lock(shared.mutex);
+  shared.budget = LineBudget(lines_per_second);
+}
+
+void ReportOmittedDecisions() {
+  SharedBudget& shared = Shared();
+  std::vector<OmittedLines> omitted;
+  {
+    const std::lock_guard lock(shared.mutex);
+    omitted = shared.budget.TakeOmitted(Now());
+  }
+  for (const OmittedLines& it : omitted) {
+    Decision("left-out").With("kind", it.kind).With("count", it.count).Write();
+  }
+}
+
+Decision::Decision(std::string_view kind) {
+  SharedBudget& shared = Shared();
+  const std::lock_guard lock(shared.mutex);
+  is_omitted_ = !shared.budget.Take(kind, Now());
+  if (!is_omitted_) {
+    line_ = "decision=" + QuoteValue(kind);
+  }
+}
 
 Decision& Decision::With(std::string_view key, std::string_view value) {
-  return WithBare(key, QuoteValue(value));
+  return is_omitted_ ? *this : WithBare(key, QuoteValue(value));
 }
 
 Decision& Decision::With(std::string_view key, bool value) {
@@ -48,6 +91,9 @@
 }
 
 Decision& Decision::WithBare(std::string_view key, std::string_view value) {
+  if (is_omitted_) {
+    return *this;
+  }
   line_ += ' ';
   line_ += key;
   line_ += '=';
@@ -56,7 +102,9 @@
 }
 
 void Decision::Write() const {
-  Log(LogLevel::kInfo, line_);
+  if (!is_omitted_) {
+    Log(LogLevel::kInfo, line_);
+  }
 }
 
 }  // namespace sassafras::telemetry
