Jobs: a plan looks at what changed and at what it places

Cause: each plan walked over all open runs of all workers, and each step that waited with permits for busy workers walked over the whole pool to find others to ask about, in every plan (read from the code; not profiled).

--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -79,6 +79,11 @@
   // The same, also with tickets that have expired and can be renewed.
   std::vector<const WorkerBoot*> PermittedWorkers(const StepKey& step) const;
 
+  // Returns the workers, permitted or refused, about which an answer on `step`
+  // is known. The reference is valid until the tracker is modified.
+  const std::map<wire::WorkerId, WorkerBoot>& AnsweredWorkers(
+      const StepKey& step) const;
+
   // Ignores whether the ticket has expired.
   AdviceStatus StatusOf(const StepKey& step, const WorkerBoot& worker) const;
 
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -106,10 +106,21 @@
                   serves_users,
                   has_worker_limit)
 
+// What the open runs of a worker amount to.
+struct WorkerLoad {
+  Resources used;
+  uint32_t fillers = 0;
+  uint32_t user_serving = 0;
+
+  void Add(const OpenRun& run);
+  void Remove(const OpenRun& run);
+};
+
 struct WorkerRecord {
   WorkerInfo info;
   uint64_t end_cursor = 0;    // run ends up to this number are recorded
   std::vector<OpenRun> runs;  // in the order in which they were started
+  WorkerLoad load;            // of `runs`; not part of a snapshot
 
   const OpenRun* FindRun(const TaskKey& task, uint64_t run) const;
 };
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -29,6 +29,8 @@
   std::vector<AdviceRequest> advice_requests;  // most urgent first
   // Workers whose capacity is kept for steps that couldn't be placed.
   std::set<WorkerBoot> reserved_workers;
+  // Steps that need advice, about which no worker is worth a query now.
+  std::vector<StepKey> steps_without_query;
 };
 
 // Inputs of a plan that are costly to compute. Each is called at most once, and
@@ -69,6 +71,9 @@
   // Workers on which each task failed or was a straggler.
   std::map<wire::JobId, std::map<TaskKey, std::set<wire::WorkerId>>> failed_on_;
   std::set<WorkerBoot> reserved_workers_;  // of the last plan
+  // When the search for workers to ask about is next worth its cost, for steps
+  // for which the last search found none.
+  std::map<StepKey, base::Instant> next_advice_search_;
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/include/jobs/worker_speed.h
+++ b/libs/jobs/include/jobs/worker_speed.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -41,9 +42,13 @@
   std::map<std::pair<TaskKey, uint64_t>, base::Instant> started_at_;
   // Samples of unfinished steps.
   std::map<StepKey, std::vector<Sample>> samples_;
-  // Moving average of a worker's task time divided by the mean time of the
-  // step.
-  std::map<WorkerBoot, double> slowness_;
+  struct Slowness {
+    int64_t started_ms = 0;  // of the worker's boot
+    // Moving average of the worker's task time divided by the mean time of the
+    // step.
+    double ratio = 1;
+  };
+  std::unordered_map<wire::WorkerId, Slowness> slowness_;
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -71,6 +71,13 @@
   return AllowedWorkers(step, base::Instant::min());
 }
 
+const std::map<wire::WorkerId, WorkerBoot>& AdviceTracker::AnsweredWorkers(
+    const StepKey& step) const {
+  static const auto* const none = new std::map<wire::WorkerId, WorkerBoot>;
+  const auto it = steps_.find(step);
+  return it == steps_.end() ? *none : it->second.answered;
+}
+
 AdviceStatus AdviceTracker::StatusOf(const StepKey& step,
                                      const WorkerBoot& worker) const {
   const auto advice = steps_.find(step);
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -63,6 +63,18 @@
   });
 }
 
+void WorkerLoad::Add(const OpenRun& run) {
+  used += run.charge;
+  fillers += run.is_filler ? 1 : 0;
+  user_serving += run.serves_users ? 1 : 0;
+}
+
+void WorkerLoad::Remove(const OpenRun& run) {
+  used -= run.charge;
+  fillers -= run.is_filler ? 1 : 0;
+  user_serving -= run.serves_users ? 1 : 0;
+}
+
 const OpenRun* WorkerRecord::FindRun(const TaskKey& task, uint64_t run) const {
   const auto it = std::ranges::find_if(
       runs, [&](auto& open) { return open.run == run && open.task == task; });
@@ -127,6 +139,8 @@
     table.queues_.emplace(queue.id, queue);
   }
   for (auto& worker : snapshot->workers) {
+    std::ranges::for_each(worker.runs,
+                          [&](auto& run) { worker.load.Add(run); });
     table.workers_.emplace(worker.info.boot.id, worker);
   }
   for (auto& job : snapshot->jobs) {
@@ -239,12 +253,15 @@
   if (it == workers_.end() || it->second.info.boot != end.worker) {
     return;
   }
-  const auto is_ended_run = [&](const OpenRun& open) {
+  std::vector<OpenRun>& runs = it->second.runs;
+  const auto ended = std::ranges::find_if(runs, [&](const OpenRun& open) {
     return open.run == end.run && open.task == end.task;
-  };
-  if (std::erase_if(it->second.runs, is_ended_run) == 0) {
+  });
+  if (ended == runs.end()) {
     return;
   }
+  it->second.load.Remove(*ended);
+  runs.erase(ended);
   const auto job = jobs_.find(end.task.step.job);
   if (job != jobs_.end()) {
     RecordEnd(job->second, end);
@@ -396,6 +413,7 @@
   worker->second.runs.push_back({start.task, start.run, step_spec.Charge(),
                                  step_spec.is_filler, step_spec.ServesUsers(),
                                  step_spec.max_per_worker > 0});
+  worker->second.load.Add(worker->second.runs.back());
   return true;
 }
 
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -61,10 +61,18 @@
   worker.has_fillers |= step.spec->is_filler;
   worker.has_user_serving_tasks |= step.spec->ServesUsers();
   if (step.spec->max_per_worker > 0) {
-    ++worker.step_tasks[step.key];
+    worker.placed_steps.push_back(step.key);
   }
 }
 
+// Returns the number of tasks of the step on the worker.
+size_t CountTasks(const StepKey& step, const Candidate& worker) {
+  const auto open = std::ranges::count(
+      worker.record->runs, step, [](auto& run) { return run.task.step; });
+  const auto placed = std::ranges::count(worker.placed_steps, step);
+  return static_cast<size_t>(open + placed);
+}
+
 // Whether the step is a gang, or one of its tasks takes more than half of every
 // eligible worker. Without a reservation, smaller work would fill every gap
 // before such a step finds one.
@@ -90,12 +98,8 @@
   if (worker.is_reserved || !step.spec->Charge().Fits(worker.free_capacity)) {
     return false;
   }
-  if (step.spec->max_per_worker == 0) {
-    return true;
-  }
-  const auto it = worker.step_tasks.find(step.key);
-  return it == worker.step_tasks.end() ||
-         it->second < step.spec->max_per_worker;
+  return step.spec->max_per_worker == 0 ||
+         CountTasks(step.key, worker) < step.spec->max_per_worker;
 }
 
 PlacementCost CostOf(const WaitingStep& step, const Candidate& worker) {
@@ -158,26 +162,31 @@
       workers_.push_back(MakeCandidate(*record));
     }
   }
+  workers_by_id_.reserve(workers_.size());
   for (Candidate& worker : workers_) {
+    workers_by_id_.emplace(worker.boot().id.str(), &worker);
     pools_[worker.info().service].push_back(&worker);
+    Resources& most = most_free_[worker.info().service];
+    const Resources& free = worker.free_capacity;
+    most = {std::max(most.cpu_milli, free.cpu_milli),
+            std::max(most.mem_mb, free.mem_mb),
+            std::max(most.accelerators, free.accelerators)};
+  }
+  for (const WorkerBoot& boot : history_.reserved_workers) {
+    if (Candidate* worker = FindCandidate(boot)) {
+      worker->was_reserved = true;
+    }
   }
 }
 
 Candidate Planner::MakeCandidate(const WorkerRecord& record) const {
   Candidate candidate;
   candidate.record = &record;
-  candidate.free_capacity = record.info.capacity;
+  candidate.free_capacity = record.info.capacity - record.load.used;
   candidate.is_on_probation = history_.health.IsOnProbation(record.info.boot);
   candidate.speed = history_.speed.SpeedOf(record.info.boot);
-  candidate.was_reserved = history_.reserved_workers.contains(record.info.boot);
-  for (const OpenRun& run : record.runs) {
-    candidate.free_capacity -= run.charge;
-    candidate.has_fillers |= run.is_filler;
-    candidate.has_user_serving_tasks |= run.serves_users;
-    if (run.has_worker_limit) {
-      ++candidate.step_tasks[run.task.step];
-    }
-  }
+  candidate.has_fillers = record.load.fillers > 0;
+  candidate.has_user_serving_tasks = record.load.user_serving > 0;
   return candidate;
 }
 
@@ -295,17 +304,20 @@
 }
 
 Candidate* Planner::FindCandidate(const WorkerBoot& boot) {
-  const auto id_of = [](const Candidate& it) -> const wire::WorkerId& {
-    return it.boot().id;
-  };
-  const auto it = std::ranges::lower_bound(workers_, boot.id, {}, id_of);
-  return it != workers_.end() && it->boot() == boot ? &*it : nullptr;
+  const auto it = workers_by_id_.find(boot.id.str());
+  return it != workers_by_id_.end() && it->second->boot() == boot ? it->second
+                                                                  : nullptr;
 }
 
 const Pool& Planner::PoolOf(const WaitingStep& step) {
   return pools_[step.queue->service];
 }
 
+bool Planner::MayFitSomewhere(const WaitingStep& step) const {
+  const auto it = most_free_.find(step.queue->service);
+  return it != most_free_.end() && step.spec->Charge().Fits(it->second);
+}
+
 void Planner::PlaceTasks(const WaitingStep& step, const Pool& eligible) {
   for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
     const TaskRecord& task = step.record->tasks[n];
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -10,7 +10,9 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -40,8 +42,9 @@
   bool has_fillers = false;
   // Runs long-running tasks with a latency target.
   bool has_user_serving_tasks = false;
-  // Number of tasks on this worker, for steps with a max_per_worker limit.
-  std::map<StepKey, uint32_t> step_tasks;
+  // Steps with a max_per_worker limit of which this plan places tasks here, one
+  // element for each task.
+  std::vector<StepKey> placed_steps;
 
   const WorkerInfo& info() const { return record->info; }
   const WorkerBoot& boot() const { return record->info.boot; }
@@ -102,6 +105,7 @@
   const WorkerSpeed& speed;
   const FailedOn& failed_on;
   const std::set<WorkerBoot>& reserved_workers;  // of the last plan
+  const std::map<StepKey, base::Instant>& next_advice_search;
 };
 
 // Used for one plan. Not thread-safe. Keeps references to the constructor
@@ -139,6 +143,8 @@
                     std::span<const WorkerBoot* const> boots);
   Candidate* FindCandidate(const WorkerBoot& boot);
   const Pool& PoolOf(const WaitingStep& step);
+  // Whether some worker of the pool may have room for a task of the step.
+  bool MayFitSomewhere(const WaitingStep& step) const;
   void PlaceTasks(const WaitingStep& step, const Pool& eligible);
   void PlaceGang(const WaitingStep& step, const Pool& eligible);
   bool TryGang(const WaitingStep& step,
@@ -153,6 +159,12 @@
 
   bool CanRequestAdvice(const WaitingStep& step) const;
   void RequestAdvice(const WaitingStep& step);
+  bool IsAdviceSearchDue(const WaitingStep& step,
+                         std::span<const AdviceCandidate> permitted) const;
+  AdviceCandidate ToAdviceCandidate(const WaitingStep& step,
+                                    Candidate* worker) const;
+  std::vector<AdviceCandidate> PermittedCandidates(const WaitingStep& step);
+  std::vector<AdviceCandidate> UnknownCandidates(const WaitingStep& step);
   void AddAdviceRequest(const WaitingStep& step,
                         std::vector<AdviceCandidate> candidates,
                         size_t claimed);
@@ -168,6 +180,10 @@
   // Sorted by id; not resized after CollectWorkers.
   std::vector<Candidate> workers_;
   std::map<wire::ServiceId, Pool> pools_;  // points into `workers_`
+  std::unordered_map<std::string_view, Candidate*> workers_by_id_;
+  // The most of each resource that any worker of the pool had free when the
+  // plan was begun.
+  std::map<wire::ServiceId, Resources> most_free_;
   std::vector<WaitingStep> waiting_steps_;
   // Steps that are nearly ready and have no advice yet.
   std::vector<WaitingStep> upcoming_steps_;
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -47,47 +47,85 @@
 // counts as taken for requests of lower rank. A few steps may request advice
 // without free capacity, to learn early which workers they may use.
 void Planner::RequestAdvice(const WaitingStep& step) {
-  std::vector<AdviceCandidate> allowed;
-  std::vector<AdviceCandidate> unknown;
-  const bool is_new = !advice_.HasAnswer(step.key);
-  for (Candidate* worker : PoolOf(step)) {
-    if (!IsEligible(step, *worker)) {
-      continue;
-    }
-    const AdviceStatus status =
-        is_new ? AdviceStatus::kUnknown
-               : advice_.StatusOf(step.key, worker->boot());
-    if (status == AdviceStatus::kRefused) {
-      continue;
-    }
-    const size_t fitting =
-        HasFreeCapacity(step, *worker)
-            ? CountFitting(step,
-                           worker->free_capacity - worker->claimed_for_advice)
-            : 0;
-    auto& candidates = status == AdviceStatus::kAllowed ? allowed : unknown;
-    candidates.push_back({worker, fitting});
-  }
+  std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
   const size_t needed = step.spec->is_gang ? step.spec->count : 1;
-  const bool needs_permits =
-      step.spec->is_gang && !allowed.empty() && !unknown.empty() &&
-      !HasPermittedCapacity(step, allowed);
-  if (needs_permits) {
+  const size_t fitting = CountFittingTasks(permitted);
+  if (fitting >= needed) {
+    AddAdviceRequest(step, std::move(permitted), needed);
+    return;
+  }
+  if (!IsAdviceSearchDue(step, permitted)) {
+    return;
+  }
+  std::vector<AdviceCandidate> unknown = UnknownCandidates(step);
+  const size_t unknown_fitting = CountFittingTasks(unknown);
+  const bool needs_permits = step.spec->is_gang && !permitted.empty() &&
+                             !HasPermittedCapacity(step, permitted);
+  if (needs_permits && !unknown.empty()) {
     // Waiting would not help: even if they were empty, the permitted workers
     // could not run the gang.
     AddAdviceRequest(step, std::move(unknown), 0);
     plan_.advice_requests.back().has_capacity = true;
-  } else if (CountFittingTasks(allowed) >= needed) {
-    AddAdviceRequest(step, std::move(allowed), needed);
-  } else if (CountFittingTasks(allowed) + CountFittingTasks(unknown) >=
-                 needed &&
-             CountFittingTasks(unknown) > 0) {
+  } else if (unknown_fitting > 0 && fitting + unknown_fitting >= needed) {
     AddAdviceRequest(step, std::move(unknown), needed);
-  } else if (allowed.empty() && !unknown.empty() &&
+  } else if (permitted.empty() && !unknown.empty() &&
              early_requests_ < kMaxEarlyRequests) {
     ++early_requests_;
     AddAdviceRequest(step, std::move(unknown), 0);
+  } else if (!permitted.empty()) {
+    plan_.steps_without_query.push_back(step.key);
+  }
+}
+
+// Whether to look for workers that no answer is known about. In a full pool no
+// new permit helps a task that fits nowhere.
+bool Planner::IsAdviceSearchDue(
+    const WaitingStep& step,
+    std::span<const AdviceCandidate> permitted) const {
+  if (permitted.empty()) {
+    return true;
+  }
+  const auto it = history_.next_advice_search.find(step.key);
+  if (it != history_.next_advice_search.end() && now_ < it->second) {
+    return false;
+  }
+  return step.spec->is_gang || MayFitSomewhere(step);
+}
+
+Planner::AdviceCandidate Planner::ToAdviceCandidate(const WaitingStep& step,
+                                                    Candidate* worker) const {
+  const bool has_room = HasFreeCapacity(step, *worker);
+  const Resources unclaimed =
+      worker->free_capacity - worker->claimed_for_advice;
+  return {worker, has_room ? CountFitting(step, unclaimed) : 0};
+}
+
+std::vector<Planner::AdviceCandidate> Planner::PermittedCandidates(
+    const WaitingStep& step) {
+  std::vector<AdviceCandidate> candidates;
+  for (Candidate* worker : PermittedWorkers(step)) {
+    candidates.push_back(ToAdviceCandidate(step, worker));
+  }
+  return candidates;
+}
+
+// Pools and answers are both sorted by worker id, which allows a linear merge.
+std::vector<Planner::AdviceCandidate> Planner::UnknownCandidates(
+    const WaitingStep& step) {
+  const auto& answered = advice_.AnsweredWorkers(step.key);
+  auto it = answered.begin();
+  std::vector<AdviceCandidate> candidates;
+  for (Candidate* worker : PoolOf(step)) {
+    while (it != answered.end() && it->first < worker->boot().id) {
+      ++it;
+    }
+    const bool is_answered =
+        it != answered.end() && it->second == worker->boot();
+    if (!is_answered && IsEligible(step, *worker)) {
+      candidates.push_back(ToAdviceCandidate(step, worker));
+    }
   }
+  return candidates;
 }
 
 bool Planner::HasPermittedCapacity(
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -2,9 +2,19 @@
 
 #include "jobs/scheduler.h"
 
+#include <chrono>
+
+#include "erase_job.h"
 #include "planner.h"
 
 namespace sassafras::jobs {
+namespace {
+
+// A search for workers to ask about walks over the whole pool; capacity that
+// comes free on permitted workers is found without one.
+constexpr auto kAdviceSearchPause = std::chrono::milliseconds(150);
+
+}  // namespace
 
 void Scheduler::OnJob(const JobRecord& job,
                       const Queue* queue,
@@ -16,6 +26,8 @@
   timings_.erase(job);
   failed_on_.erase(job);
   speed_.OnJobEnded(job);
+  EraseJob(next_advice_search_, job, StepKey{job, 0, 0},
+           [](auto& it) { return it.first.job; });
 }
 
 void Scheduler::OnStart(const StartRun& start, base::Instant now) {
@@ -55,9 +67,12 @@
                          const PlanSources& sources,
                          base::Instant now) {
   const SchedulerHistory history{timings_, health_, speed_, failed_on_,
-                                 reserved_workers_};
+                                 reserved_workers_, next_advice_search_};
   Plan plan = Planner(table, advice, history, now).Make(sources);
   reserved_workers_ = plan.reserved_workers;
+  for (const StepKey& step : plan.steps_without_query) {
+    next_advice_search_[step] = now + kAdviceSearchPause;
+  }
   return plan;
 }
 
--- a/libs/jobs/src/worker_speed.cc
+++ b/libs/jobs/src/worker_speed.cc
@@ -66,18 +66,22 @@
   }
   for (const Sample& it : samples) {
     const double ratio = std::min(Seconds(it.time) / mean, kMaxRatio);
-    double& slowness = slowness_.try_emplace(it.worker, 1).first->second;
-    slowness += kSampleWeight * (ratio - slowness);
+    Slowness& slowness = slowness_[it.worker.id];
+    if (slowness.started_ms != it.worker.started_ms) {
+      slowness = {it.worker.started_ms, 1};
+    }
+    slowness.ratio += kSampleWeight * (ratio - slowness.ratio);
   }
 }
 
 SpeedClass WorkerSpeed::SpeedOf(const WorkerBoot& worker) const {
-  const auto it = slowness_.find(worker);
-  if (it == slowness_.end() || it->second < kSlowThreshold) {
+  const auto it = slowness_.find(worker.id);
+  if (it == slowness_.end() || it->second.started_ms != worker.started_ms ||
+      it->second.ratio < kSlowThreshold) {
     return SpeedClass::kNormal;
   }
-  return it->second < kVerySlowThreshold ? SpeedClass::kSlow
-                                         : SpeedClass::kVerySlow;
+  return it->second.ratio < kVerySlowThreshold ? SpeedClass::kSlow
+                                               : SpeedClass::kVerySlow;
 }
 
 }  // namespace sassafras::jobs
