--- a/libs/jobcontrol/src/relay_host.cc
+++ b/libs/jobcontrol/src/relay_host.cc
@@ -2,6 +2,7 @@
 
 #include "relay_host.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -48,6 +49,10 @@
   }
   AnswerOpenRequest();
   open_request_ = std::move(respond.send);
+  if (request->is_probe) {
+    AnswerOpenRequest();
+    return;
+  }
   CarryOut(*request);
   WaitForReplies(kMaxReplyDelay);
 }
--- a/libs/jobcontrol/src/relay_host.h
+++ b/libs/jobcontrol/src/relay_host.h
@@ -31,9 +31,9 @@
                                            WorkerLink& workers,
                                            TermSource current_term);
 
-  // Handles an encoded RelayRequest. It is answered as soon as a worker has
-  // replied to any call or the next request has arrived, and after
-  // kMaxReplyDelay in any case.
+  // Handles an encoded RelayRequest. A probe is answered at once, any other as
+  // soon as a worker has replied to any call or the next request has arrived,
+  // and after kMaxReplyDelay in any case.
   void Handle(const std::string& body, peer::Respond respond);
   void Close();
 
--- a/libs/jobcontrol/src/relay_messages.h
+++ b/libs/jobcontrol/src/relay_messages.h
@@ -69,8 +69,10 @@
   uint64_t term = 0;  // the leader's fencing token
   std::vector<RelayedOrder> orders;
   std::vector<RelayedHold> holds;
+  // The leader only asks whether the relay can be reached.
+  bool is_probe = false;
 };
-WIRE_DEFINE_ARRAY(RelayRequest, term, orders, holds)
+WIRE_DEFINE_ARRAY(RelayRequest, term, orders, holds, is_probe)
 
 struct RelayedOrderReply {
   RelayedCallId id = 0;
--- a/libs/jobcontrol/src/relayed_link.cc
+++ b/libs/jobcontrol/src/relayed_link.cc
@@ -37,6 +37,7 @@
   void EndTerm() {
     term_ = 0;
     selector_ = {};
+    selector_.SetHosts(hosts_);
     relays_.clear();
     probe_timer_.cancel();
     flush_timer_.cancel();
@@ -45,7 +46,8 @@
 
   void SetFleet(std::span<const wire::EntryId> hosts, size_t workers) {
     const bool was_large = std::exchange(is_large_, IsLarge(workers));
-    selector_.SetHosts(hosts);
+    hosts_.assign(hosts.begin(), hosts.end());
+    selector_.SetHosts(hosts_);
     if (is_large_ && !was_large && term_ != 0) {
       Probe();
     }
@@ -188,6 +190,7 @@
            selector_.HostsToProbe(kernel::MonotonicNow())) {
         Relay& relay = relays_[host];
         if (relay.open_requests == 0) {
+          relay.unsent.is_probe = true;
           SendRequest(host, relay);
         }
       }
@@ -203,7 +206,8 @@
   const RelaySender send_;
   boost::asio::steady_timer flush_timer_;
   boost::asio::steady_timer probe_timer_;
-  RelaySelector selector_;
+  std::vector<wire::EntryId> hosts_;  // that can relay
+  RelaySelector selector_;            // of the current term
   std::map<wire::EntryId, Relay> relays_;
   uint64_t term_ = 0;  // 0 while this process doesn't lead
   bool is_large_ = false;
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -201,6 +201,26 @@
             AdviceStatus::kUnknown);
 }
 
+// In a full pool, hundreds of steps wait with permits for busy workers. A walk
+// over the pool for each of them in each plan would leave the leader no time.
+TEST_F(SchedulerTest, SearchesForWorkersToAskAboutNotInEachPlan) {
+  RequireAdvice();
+  AddWorker(Worker("a"));
+  StepSpec gang = Step(2);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("gang", {gang});
+  GrantPermits(MakePlan(0), 0);
+  FillWorker("a");
+  const Plan plan = MakePlan(10);
+  ASSERT_EQ(plan.steps_without_query.size(), 1U);
+  EXPECT_EQ(plan.steps_without_query[0].job, wire::JobId("gang"));
+  EXPECT_TRUE(MakePlan(20).steps_without_query.empty());
+  AddWorker(Worker("b"));
+  EXPECT_TRUE(MakePlan(30).advice_requests.empty());
+  EXPECT_EQ(MakePlan(1000).advice_requests.size(), 1U);
+}
+
 // Work of a higher priority is placed first and would otherwise choose the
 // workers that have been emptied for a gang.
 TEST_F(SchedulerTest, OtherWorkAvoidsWorkersThatAreReserved) {
@@ -410,6 +430,7 @@
         free_capacity -= run.charge;
       }
       RC_ASSERT(free_capacity.cpu_milli >= 0);
+      RC_ASSERT(free_capacity == record.info.capacity - record.load.used);
     }
     for (const auto& [id, job] : fixture.table.jobs()) {
       const StepRecord& step = job.occurrences.at(0)[0];
