--- a/daemon/src/jobd_main.cc
+++ b/daemon/src/jobd_main.cc
@@ -111,8 +111,8 @@
   sas::kernel::Kernel& kernel = *process.kernel;
   // On the control thread, where each call ends up: a process has one core, and
   // a change of thread costs as much as a short call.
-  auto peer_service = std::make_unique<sas::cluster::PeerService>(
-      settings, kernel.control());
+  auto peer_service =
+      std::make_unique<sas::cluster::PeerService>(settings, kernel.control());
   std::unique_ptr<ControlNode> control;
   sas::cluster::LocalHandler local;
   if (settings.IsControlReplica()) {
--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -138,7 +138,7 @@
   jobs::Batch batch_;                        // the next batch to record
   std::vector<RecordDone> batch_callbacks_;  // called once `batch_` is recorded
   bool is_recording_ = false;                // at most one batch is in flight
-  bool needs_plan_ = true;  // the state changed since the last plan
+  bool needs_plan_ = true;   // the state changed since the last plan
   base::Instant next_plan_;  // not earlier than this
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
   // Whether a pass over all sessions is in progress, and the last worker that
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -12,9 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "cluster/replica_driver.h"
+#include "heard_workers.h"
 #include "jobcontrol/advice_host.h"
 #include "jobcontrol/leader.h"
-#include "heard_workers.h"
 #include "jobcontrol/membership.h"
 #include "jobcontrol/messages.h"
 #include "relay_host.h"
@@ -87,17 +87,18 @@
         worker_link_(RelayedLink::Create(
             kernel.control(),
             workers,
-            [&peers](const wire::EntryId& host, std::string body,
+            [&peers](const wire::EntryId& host,
+                     std::string body,
                      RelayedLink::RelayDone done) {
               peers.Call(host, kRelayMethod, std::move(body), kRelayTimeout,
                          [done = std::move(done)](auto reply, const auto&) {
                            done(std::move(reply));
                          });
             })),
-        relay_host_(RelayHost::Create(
-            kernel.control(),
-            workers,
-            [this] { return replica().GetTerm().value(); })),
+        relay_host_(
+            RelayHost::Create(kernel.control(),
+                              workers,
+                              [this] { return replica().GetTerm().value(); })),
         metrics_(metrics),
         leader_metrics_(metrics),
         self_(settings.peer.ToString()),
--- a/libs/jobcontrol/src/heard_workers.cc
+++ b/libs/jobcontrol/src/heard_workers.cc
@@ -8,8 +8,7 @@
 
 bool HeardWorkers::Take(const jobs::JobTable& table,
                         const WorkerHeartbeat& heartbeat) {
-  const jobs::WorkerRecord* record =
-      table.FindWorker(heartbeat.worker.boot.id);
+  const jobs::WorkerRecord* record = table.FindWorker(heartbeat.worker.boot.id);
   if (record == nullptr || record->info != heartbeat.worker) {
     return false;
   }
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -17,8 +17,8 @@
 
 // Added to the placement service's own expected time to answer a query.
 constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(600);
-// After a plan, this multiple of the time that it took belongs to other work, so
-// that a leader with a long backlog still hears its workers.
+// After a plan, this multiple of the time that it took belongs to other work,
+// so that a leader with a long backlog still hears its workers.
 constexpr int kPlanPause = 2;
 
 }  // namespace
--- a/libs/jobcontrol/src/relay_host.cc
+++ b/libs/jobcontrol/src/relay_host.cc
@@ -68,15 +68,15 @@
 
 void RelayHost::CarryOut(const RelayRequest& request) {
   for (const RelayedOrder& order : request.orders) {
-    workers_.Order(ToWorkerInfo(order.target), ToOrderCall(order), term_,
-                   [self = shared_from_this(), id = order.id,
-                    term = term_](const jobs::OrderReply& reply) {
-                     if (term == self->term_) {
-                       self->replies_.orders.push_back(
-                           ToRelayedReply(id, reply));
-                       self->OnReplyAdded();
-                     }
-                   });
+    workers_.Order(
+        ToWorkerInfo(order.target), ToOrderCall(order), term_,
+        [self = shared_from_this(), id = order.id,
+         term = term_](const jobs::OrderReply& reply) {
+          if (term == self->term_) {
+            self->replies_.orders.push_back(ToRelayedReply(id, reply));
+            self->OnReplyAdded();
+          }
+        });
   }
   for (const RelayedHold& hold : request.holds) {
     jobs::HoldCall call;
--- a/libs/jobcontrol/src/relay_host.h
+++ b/libs/jobcontrol/src/relay_host.h
@@ -51,7 +51,7 @@
   WorkerLink& workers_;
   const TermSource current_term_;
   boost::asio::steady_timer timer_;
-  uint64_t term_ = 0;  // of the leader that is served; 0 before the first
+  uint64_t term_ = 0;   // of the leader that is served; 0 before the first
   RelayReply replies_;  // not yet returned to the leader
   std::function<void(int, std::string)> open_request_;  // empty if none
   bool is_collecting_ = false;  // the open request is about to be answered
--- a/libs/jobcontrol/src/relay_messages.cc
+++ b/libs/jobcontrol/src/relay_messages.cc
@@ -85,8 +85,12 @@
 
 RelayedHoldReply ToRelayedReply(RelayedCallId id,
                                 const jobs::HoldReply& reply) {
-  return {id,           reply.is_answered, reply.is_refused, reply.clock_ms,
-          reply.running, reply.ended};
+  return {id,
+          reply.is_answered,
+          reply.is_refused,
+          reply.clock_ms,
+          reply.running,
+          reply.ended};
 }
 
 jobs::HoldReply ToHoldReply(const RelayedHoldReply& reply) {
--- a/libs/jobcontrol/src/relay_messages.h
+++ b/libs/jobcontrol/src/relay_messages.h
@@ -39,8 +39,8 @@
   jobs::TaskKey task;
   uint64_t run = 0;
   int64_t lease_until_ms = 0;
-  uint32_t percent = 0;    // of a kPace
-  std::string payload;     // of a kStart, as the two below
+  uint32_t percent = 0;  // of a kPace
+  std::string payload;   // of a kStart, as the two below
   std::string checkpoint;
   std::string ticket;
 };
--- a/libs/jobcontrol/src/relay_selector.h
+++ b/libs/jobcontrol/src/relay_selector.h
@@ -1,7 +1,7 @@
 // Decides through which control host the leader calls a worker. In a large
-// fleet the calls to workers cost the leader more than all else, while the other
-// control hosts are idle. A worker keeps its relay, and so its connections, as
-// long as that host replies.
+// fleet the calls to workers cost the leader more than all else, while the
+// other control hosts are idle. A worker keeps its relay, and so its
+// connections, as long as that host replies.
 
 #ifndef JOBCONTROL_SRC_RELAY_SELECTOR_H_
 #define JOBCONTROL_SRC_RELAY_SELECTOR_H_
--- a/libs/jobcontrol/src/relayed_link.cc
+++ b/libs/jobcontrol/src/relayed_link.cc
@@ -130,8 +130,7 @@
     Relay& relay = relays_[host];
     --relay.open_requests;
     wire::CodecReason why;
-    auto reply =
-        body ? wire::DecodeCbor<RelayReply>(*body, why) : std::nullopt;
+    auto reply = body ? wire::DecodeCbor<RelayReply>(*body, why) : std::nullopt;
     if (!reply) {
       OnFailure(host, relay);
       return;
--- a/libs/jobcontrol/test/relay_test.cc
+++ b/libs/jobcontrol/test/relay_test.cc
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <gtest/gtest.h>
 
 #include "relay_host.h"
 #include "relay_selector.h"
@@ -162,12 +162,14 @@
     link_->SetFleet(std::vector{kHost}, workers);
     link_->BeginTerm(term);
     if (RelayedLink::IsLarge(workers)) {
-      AwaitTrue([this] { return link_->RelayFor(worker_.boot.id).has_value(); });
+      AwaitTrue(
+          [this] { return link_->RelayFor(worker_.boot.id).has_value(); });
     }
   }
 
   void AwaitTrue(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(30);
     while (!condition() && std::chrono::steady_clock::now() < end) {
       control_.restart();
       control_.run_one_for(milliseconds(20));
--- a/libs/jobs/include/jobs/job_timing.h
+++ b/libs/jobs/include/jobs/job_timing.h
@@ -1,8 +1,8 @@
-// Tells which due time a job can still meet. Under overload, serving jobs in the
-// order of their objectives makes every job late: each one is started when its
-// own objective has just passed. A job whose objective is out of reach therefore
-// yields to those that can still meet theirs, and is served before the time at
-// which its result is of no use any more.
+// Tells which due time a job can still meet. Under overload, serving jobs in
+// the order of their objectives makes every job late: each one is started when
+// its own objective has just passed. A job whose objective is out of reach
+// therefore yields to those that can still meet theirs, and is served before
+// the time at which its result is of no use any more.
 
 #ifndef JOBS_JOB_TIMING_H_
 #define JOBS_JOB_TIMING_H_
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -67,8 +67,8 @@
 
 // Returns the number of tasks of the step on the worker.
 size_t CountTasks(const StepKey& step, const Candidate& worker) {
-  const auto open = std::ranges::count(
-      worker.record->runs, step, [](auto& run) { return run.task.step; });
+  const auto open = std::ranges::count(worker.record->runs, step,
+                                       [](auto& run) { return run.task.step; });
   const auto placed = std::ranges::count(worker.placed_steps, step);
   return static_cast<size_t>(open + placed);
 }
@@ -270,8 +270,8 @@
   }
 }
 
-// Returns the workers on which the step may start now and could run if they were
-// empty.
+// Returns the workers on which the step may start now and could run if they
+// were empty.
 Pool Planner::EligibleWorkers(const WaitingStep& step) {
   if (!step.queue->advice.is_required) {
     return PermittedWorkers(step);
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -69,8 +69,8 @@
 
 // Cost of placing a task on a worker; the lowest is best. By order of
 // importance: avoid workers on probation, avoid interference between fillers
-// and tasks with a latency target, stay near the data, leave reserved workers to
-// the steps that wait for them, match the worker's speed, pack accelerators,
+// and tasks with a latency target, stay near the data, leave reserved workers
+// to the steps that wait for them, match the worker's speed, pack accelerators,
 // spread processor load.
 struct PlacementCost {
   bool is_on_probation = false;
@@ -159,6 +159,11 @@
 
   bool CanRequestAdvice(const WaitingStep& step) const;
   void RequestAdvice(const WaitingStep& step);
+  // Whether the gang has room for so many of its tasks on permitted workers
+  // that the rest is likely to come free while its tickets are renewed.
+  bool IsNearlyPlaceable(const WaitingStep& step,
+                         std::span<const AdviceCandidate> permitted,
+                         size_t fitting) const;
   bool IsAdviceSearchDue(const WaitingStep& step,
                          std::span<const AdviceCandidate> permitted) const;
   AdviceCandidate ToAdviceCandidate(const WaitingStep& step,
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -21,6 +21,12 @@
 // whole capacity: some of it will be in use when the rest is free.
 constexpr double kPermittedCapacityShare = 1.25;
 
+// With at least this many idle hosts, tickets of a gang are renewed when this
+// share of its tasks has room: the capacity that has been kept for it would
+// otherwise lie idle during the query.
+constexpr size_t kSpareHosts = 8;
+constexpr double kEarlyRenewalShare = 0.5;
+
 size_t CountWorkersToName(const WaitingStep& step) {
   if (step.spec->is_gang) {
     return kMaxWorkersPerRequest;
@@ -50,8 +56,8 @@
   std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
   const size_t needed = step.spec->is_gang ? step.spec->count : 1;
   const size_t fitting = CountFittingTasks(permitted);
-  if (fitting >= needed) {
-    AddAdviceRequest(step, std::move(permitted), needed);
+  if (fitting >= needed || IsNearlyPlaceable(step, permitted, fitting)) {
+    AddAdviceRequest(step, std::move(permitted), std::min(needed, fitting));
     return;
   }
   if (!IsAdviceSearchDue(step, permitted)) {
@@ -77,6 +83,17 @@
   }
 }
 
+bool Planner::IsNearlyPlaceable(const WaitingStep& step,
+                                std::span<const AdviceCandidate> permitted,
+                                size_t fitting) const {
+  const bool has_spare_hosts =
+      plan_.advice_requests.size() + kSpareHosts < idle_advice_hosts_;
+  return step.spec->is_gang && has_spare_hosts &&
+         static_cast<double>(fitting) >=
+             kEarlyRenewalShare * static_cast<double>(step.spec->count) &&
+         HasPermittedCapacity(step, permitted);
+}
+
 // Whether to look for workers that no answer is known about. In a full pool no
 // new permit helps a task that fits nowhere.
 bool Planner::IsAdviceSearchDue(
@@ -128,9 +145,8 @@
   return candidates;
 }
 
-bool Planner::HasPermittedCapacity(
-    const WaitingStep& step,
-    std::span<const AdviceCandidate> permitted) {
+bool Planner::HasPermittedCapacity(const WaitingStep& step,
+                                   std::span<const AdviceCandidate> permitted) {
   size_t fitting = 0;
   for (const AdviceCandidate& it : permitted) {
     fitting += CountFitting(step, it.worker->info().capacity);
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -66,8 +66,9 @@
                          const AdviceTracker& advice,
                          const PlanSources& sources,
                          base::Instant now) {
-  const SchedulerHistory history{timings_, health_, speed_, failed_on_,
-                                 reserved_workers_, next_advice_search_};
+  const SchedulerHistory history{
+      timings_,   health_,           speed_,
+      failed_on_, reserved_workers_, next_advice_search_};
   Plan plan = Planner(table, advice, history, now).Make(sources);
   reserved_workers_ = plan.reserved_workers;
   for (const StepKey& step : plan.steps_without_query) {
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -25,7 +25,8 @@
     wire::EntryId("d")};
 
 PlanSources Sources(const JobTable& table,
-                    const std::set<wire::WorkerId>& usable) {
+                    const std::set<wire::WorkerId>& usable,
+                    size_t hosts = kAdviceHosts) {
   PlanSources sources;
   sources.usable_workers = [&] {
     std::vector<const WorkerRecord*> records;
@@ -34,7 +35,7 @@
     }
     return records;
   };
-  sources.idle_advice_hosts = [] { return kAdviceHosts; };
+  sources.idle_advice_hosts = [hosts] { return hosts; };
   return sources;
 }
 
@@ -49,8 +50,7 @@
               int64_t accepted_ms = 0) {
     fixture_.AddJob(id, std::move(steps));
     const JobRecord& job = *fixture_.table.FindJob(wire::JobId(id));
-    scheduler_.OnJob(job, fixture_.table.FindQueue(job.queue),
-                     At(accepted_ms));
+    scheduler_.OnJob(job, fixture_.table.FindQueue(job.queue), At(accepted_ms));
   }
   void RequireAdvice() {
     Batch batch;
@@ -85,11 +85,13 @@
   }
   Plan MakePlan(int64_t ms = 1) {
     return scheduler_.MakePlan(fixture_.table, advice_,
-                               Sources(fixture_.table, usable_), At(ms));
+                               Sources(fixture_.table, usable_, hosts_),
+                               At(ms));
   }
 
   TableFixture fixture_;
   std::set<wire::WorkerId> usable_;
+  size_t hosts_ = kAdviceHosts;  // that can send an advice query
   AdviceTracker advice_;
   Scheduler scheduler_;
 };
@@ -180,6 +182,30 @@
       << "the tickets expired at 2020 ms";
 }
 
+// Capacity that has been emptied for a gang lies idle while its tickets are
+// renewed.
+TEST_F(SchedulerTest, RenewsTicketsBeforeTheLastTaskOfAGangHasRoom) {
+  RequireAdvice();
+  for (const char* name : {"a", "b", "c", "d"}) {
+    AddWorker(Worker(name));
+  }
+  FillWorker("c");
+  FillWorker("d");
+  StepSpec gang = Step(3);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("gang", {gang});
+  GrantPermits(MakePlan(12), 20);
+  const auto count_requests = [&] {
+    return std::ranges::count(MakePlan(5000).advice_requests,
+                              wire::JobId("gang"),
+                              [](auto& it) { return it.step.job; });
+  };
+  EXPECT_EQ(count_requests(), 0) << "hosts are scarce";
+  hosts_ = 40;
+  EXPECT_EQ(count_requests(), 1) << "two of three tasks have room";
+}
+
 TEST_F(SchedulerTest, AGangThatCannotFitOnPermittedWorkersAsksAboutOthers) {
   RequireAdvice();
   for (int n = 0; n < 60; ++n) {
--- a/libs/peer/src/channel.cc
+++ b/libs/peer/src/channel.cc
@@ -288,15 +288,14 @@
     const auto limit =
         is_idle ? options_.idle_silence_limit : options_.silence_limit;
     // An idle link is quiet, so its silence counts from the first call on.
-    const auto heard =
-        is_idle ? link_->last_receive()
-                : std::max(link_->last_receive(), last_call_began_);
+    const auto heard = is_idle
+                           ? link_->last_receive()
+                           : std::max(link_->last_receive(), last_call_began_);
     if (now - heard > limit) {
       DropLink("the connection went silent");
       return;
     }
-    const auto period =
-        is_idle ? options_.idle_heartbeat : options_.heartbeat;
+    const auto period = is_idle ? options_.idle_heartbeat : options_.heartbeat;
     const auto last_traffic = std::min(link_->last_receive(), last_sent_);
     if (now - std::max(last_ping_, last_traffic) >= period) {
       last_ping_ = now;
@@ -351,7 +350,7 @@
   SteadyClock::time_point dial_deadline_;
   SteadyClock::time_point next_dial_;
   SteadyClock::time_point last_ping_;
-  SteadyClock::time_point last_sent_;  // of calls and pings
+  SteadyClock::time_point last_sent_;        // of calls and pings
   SteadyClock::time_point last_call_began_;  // when the channel became busy
 };
 
--- a/libs/telemetry/include/telemetry/decision.h
+++ b/libs/telemetry/include/telemetry/decision.h
@@ -24,7 +24,8 @@
 // omitted lines are counted, and a line "left-out" tells how many of which kind
 // they were. 0 removes the limit, as at the start. Thread-safe.
 void LimitDecisions(uint32_t lines_per_second);
-// Writes the counts of lines omitted in past seconds. To be called now and then.
+// Writes the counts of lines omitted in past seconds. To be called now and
+// then.
 void ReportOmittedDecisions();
 
 // Builds a line such as `decision=route request=r1 upstream=u2 took_us=31`.
--- a/libs/telemetry/src/line_budget.h
+++ b/libs/telemetry/src/line_budget.h
@@ -34,9 +34,9 @@
 
  private:
   struct Usage {
-    int64_t second = 0;     // to which `written` belongs
+    int64_t second = 0;  // to which `written` belongs
     uint32_t written = 0;
-    uint64_t omitted = 0;   // not yet returned
+    uint64_t omitted = 0;  // not yet returned
   };
 
   uint32_t limit_;
