--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -17,7 +17,7 @@
 constexpr auto kTicketMargin = std::chrono::milliseconds(200);
 constexpr auto kRetryDelay = std::chrono::milliseconds(20);
 constexpr auto kHostBackoff = std::chrono::milliseconds(500);
-constexpr size_t kMaxWorkersPerQuery = 35;
+constexpr size_t kMaxWorkersPerQuery = 60;
 // Slower queries leave the last idle hosts to quicker ones.
 constexpr auto kSlowQueryTime = std::chrono::milliseconds(100);
 constexpr size_t kHostsForQuickQueries = 2;
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -8,8 +8,10 @@
 namespace sassafras::jobs {
 namespace {
 
-// Maximum number of workers named in one advice request.
-constexpr size_t kMaxWorkersPerRequest = 50;
+// Limits of the number of workers named in one advice request.
+constexpr size_t kMaxWorkersPerRequest = 35;
+constexpr size_t kMinWorkersPerGangRequest = 30;
+constexpr size_t kMaxWorkersPerGangRequest = 60;
 constexpr size_t kMaxEarlyRequests = 4;
 // Requests for independent tasks name fewer workers, because a few of many
 // suffice and the answer comes sooner. A gang needs capacity for all its
@@ -28,13 +30,13 @@
 constexpr double kEarlyRenewalShare = 0.5;
 
 size_t CountWorkersToName(const WaitingStep& step) {
-  if (step.spec->is_gang) {
-    return kMaxWorkersPerRequest;
-  }
   const size_t tasks =
       step.record->tasks.size() - step.record->done - step.record->open;
-  return std::clamp(kWorkersPerTask * tasks, kMinWorkersPerRequest,
-                    kMaxWorkersPerRequest);
+  return step.spec->is_gang
+             ? std::clamp(kWorkersPerTask * tasks, kMinWorkersPerGangRequest,
+                          kMaxWorkersPerGangRequest)
+             : std::clamp(kWorkersPerTask * tasks, kMinWorkersPerRequest,
+                          kMaxWorkersPerRequest);
 }
 
 }  // namespace
