--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -61,6 +61,10 @@
   // the last one.
   size_t snapshot_after_records = 10'000;
   size_t snapshot_after_bytes = size_t{16} * 1024 * 1024;
+  // A leader also requests one when this much was applied since the last one
+  // and a learner has no records yet: a snapshot is much shorter than the log
+  // that led to it, and until the learner votes, fewer losses can be borne.
+  size_t learner_snapshot_bytes = size_t{2} * 1024 * 1024;
   // Records before a snapshot that stay in memory, so that followers slightly
   // behind catch up from the log instead of the snapshot.
   size_t retained_records = 1'000;
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -155,6 +155,7 @@
   void StartSnapshotStream(Peer& peer);
   void InstallSnapshot(Snapshot snapshot);
   void RequestSnapshot();
+  bool HasEmptyLearner() const;
 
   // --- barrier.cc ---
   void StartBarrierRound();
--- a/libs/consensus/src/snapshot.cc
+++ b/libs/consensus/src/snapshot.cc
@@ -18,8 +18,10 @@
 void Replica::Core::RequestSnapshot() {
   const size_t records =
       commit_index_.value() - snapshot_requested_index_.value();
-  const bool is_due = records >= options_.snapshot_after_records ||
-                      applied_bytes_ >= options_.snapshot_after_bytes;
+  const bool is_due =
+      records >= options_.snapshot_after_records ||
+      applied_bytes_ >= options_.snapshot_after_bytes ||
+      (applied_bytes_ >= options_.learner_snapshot_bytes && HasEmptyLearner());
   if (is_due && records > 0) {
     snapshot_requested_index_ = commit_index_;
     applied_bytes_ = 0;
@@ -27,6 +29,16 @@
   }
 }
 
+bool Replica::Core::HasEmptyLearner() const {
+  return IsLeader() &&
+         std::ranges::any_of(
+             memberships_.Latest().learners, [this](const Member& member) {
+               const auto it = peers_.find(member.id);
+               return it != peers_.end() && it->second.match_index.IsNone() &&
+                      it->second.mode != PeerMode::kSnapshot;
+             });
+}
+
 void Replica::Core::On(const SnapshotTaken& event) {
   const auto term = log_.TermAt(event.index);
   const bool is_new =
--- a/libs/consensus/test/replica_test.cc
+++ b/libs/consensus/test/replica_test.cc
@@ -108,6 +108,25 @@
   EXPECT_GE(At(follower).SnapshotIndex(), compacted);
 }
 
+// Failure: a replica lost its disk late in a day of heavy load. Replaying all
+// of the day would keep it from voting for seconds.
+TEST_F(ReplicaTest, AnEmptyReplicaGetsASnapshotInsteadOfALongLog) {
+  cluster_.emplace(3, kSeed);
+  cluster_->options.snapshot_after_records = 100'000;
+  cluster_->options.learner_snapshot_bytes = 1'000;
+  for (size_t i = 0; i < 3; ++i) {
+    cluster_->Crash(i);
+    cluster_->Start(i);
+  }
+  cluster_->Step(0, consensus::Bootstrap{Token(1'000'000)});
+  ASSERT_TRUE(Converge());
+  EXPECT_EQ(At(Leader()).SnapshotIndex(), Index());
+  Commit(200);
+  const size_t added = cluster_->AddHost();
+  ASSERT_TRUE(Converge());
+  EXPECT_GT(At(added).SnapshotIndex(), Index());
+}
+
 TEST_F(ReplicaTest, SimultaneousCrashLosesNoAcknowledgedCommand) {
   StartCluster(3);
   for (int round = 0; round < 20; ++round) {
--- a/libs/entry/test/api_fuzz_test.cc
+++ b/libs/entry/test/api_fuzz_test.cc
@@ -110,7 +110,7 @@
         kernel_(kernel::Kernel::Create(1)),
         metrics_(telemetry::Metrics::Create()),
         peers_(settings_, kernel_->control().get_executor()),
-        peer_service_(settings_, *kernel_),
+        peer_service_(settings_, kernel_->traffic()),
         client_(cluster::Client::Create(
             settings_.process.name,
             kernel_->control(),
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -583,7 +583,8 @@
       Decision("learner")
           .With("host", member.name)
           .With("replica", member.id)
-          .With("match", replica().MatchOf(member.id).value_or(consensus::Index()))
+          .With("match",
+                replica().MatchOf(member.id).value_or(consensus::Index()))
           .With("last", replica().LastIndex())
           .Write();
     }
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -208,12 +208,12 @@
 
 TEST_F(SchedulerTest, AGangThatCannotFitOnPermittedWorkersAsksAboutOthers) {
   RequireAdvice();
-  for (int n = 0; n < 60; ++n) {
+  for (int n = 0; n < 80; ++n) {
     const std::string name = "w" + std::to_string(n);
     AddWorker(Worker(name));
     FillWorker(name);
   }
-  StepSpec gang = Step(40);
+  StepSpec gang = Step(60);
   gang.is_gang = true;
   gang.need.cpu_milli = 16'000;
   AddJob("gang", {gang});
