Cluster: calls that find no leader are tried less and less

Calls that find no leader were tried again every 20 ms: heartbeats of 1,100 workers and callers' requests at 147 entries made some ten thousand tries a second at each control host (computed from the rates, not counted). Change: the delay between tries doubles up to 320 ms; the first call that reaches the leader wakes the others.

--- a/libs/cluster/src/client.cc
+++ b/libs/cluster/src/client.cc
@@ -15,8 +15,11 @@
 namespace sassafras::cluster {
 namespace {
 
-// Delay between two tries of a call.
-constexpr auto kRetryDelay = std::chrono::milliseconds(20);
+// Delay before the second try of a call. It doubles with each further try, up
+// to the maximum: while nobody leads, calls of a whole fleet must leave the
+// control hosts time to elect.
+constexpr auto kMinRetryDelay = std::chrono::milliseconds(20);
+constexpr auto kMaxRetryDelay = std::chrono::milliseconds(320);
 // How long leader hints that name an unreachable process are ignored.
 constexpr auto kIgnoreHintTime = std::chrono::milliseconds(1000);
 constexpr std::string_view kMethodPrefix = "control/";
@@ -33,6 +36,7 @@
   // Message of the reply if the call ends without a final one.
   std::string last_message = "no control leader was found";
   base::Duration try_timeout{};
+  base::Duration retry_delay = kMinRetryDelay;  // before the next try
   bool has_open_try = false;  // sent to another process, no result yet
   bool is_finished = false;   // `done` was called
 };
@@ -135,6 +139,7 @@
       case wire::ReplyStatus::kOk:
       case wire::ReplyStatus::kRefused:
         Finish(call, reply);
+        WakeWaitingCalls();
         return;
       case wire::ReplyStatus::kNotLeader:
         FollowHint(reply.leader);
@@ -156,14 +161,25 @@
       return;
     }
     const auto timer = std::make_shared<boost::asio::steady_timer>(control_);
-    timer->expires_after(kRetryDelay);
-    timer->async_wait([self = shared_from_this(), timer, call](auto ec) {
-      if (!ec) {
-        self->SendTry(call);
-      }
+    timer->expires_after(std::exchange(
+        call->retry_delay,
+        std::min<base::Duration>(2 * call->retry_delay, kMaxRetryDelay)));
+    retry_timers_.insert(timer);
+    // A cancelled timer means that the leader was found.
+    timer->async_wait([self = shared_from_this(), timer, call](auto /*ec*/) {
+      self->retry_timers_.erase(timer);
+      self->SendTry(call);
     });
   }
 
+  // The leader was found: calls that wait for their next try need wait no
+  // longer.
+  void WakeWaitingCalls() {
+    for (const auto& timer : retry_timers_) {
+      timer->cancel();
+    }
+  }
+
   void Finish(const std::shared_ptr<PendingCall>& call) {
     const auto status = call->may_have_run ? wire::ReplyStatus::kUnknown
                                            : wire::ReplyStatus::kNotRun;
@@ -217,6 +233,7 @@
   const LocalHandler local_handler_;
   // The following members are used on the control thread only.
   std::set<std::shared_ptr<PendingCall>> pending_calls_;
+  std::set<std::shared_ptr<boost::asio::steady_timer>> retry_timers_;
   base::Instant last_contact_;        // when another process last replied
   wire::EntryId target_;              // process that gets the next try
   wire::EntryId unreachable_target_;  // last target of a failed try
--- a/libs/cluster/test/client_test.cc
+++ b/libs/cluster/test/client_test.cc
@@ -84,5 +84,65 @@
   EXPECT_EQ(client_->LastContact(), base::Instant());
 }
 
+// A control host on which every call ends up, and which does not lead at first.
+class LeaderSearchTest : public testing::Test {
+ protected:
+  LeaderSearchTest() {
+    settings_.cluster.secret = "0123456789abcdef";
+    peers_.emplace(settings_, context_.get_executor());
+    client_ = Client::Create(wire::EntryId("control"), context_, *peers_,
+                             [this](const std::string&, const nlohmann::json&,
+                                    const ReplyDone& done) {
+                               ++tries_;
+                               wire::ControlReply reply;
+                               reply.status =
+                                   is_leading_ ? wire::ReplyStatus::kOk
+                                               : wire::ReplyStatus::kNotLeader;
+                               done(reply);
+                             });
+  }
+
+  void Call(int n) {
+    for (int i = 0; i < n; ++i) {
+      client_->Call("heartbeat", nlohmann::json::object(), kCallTimeout,
+                    Resend::kYes, [this](const auto&) { ++done_; });
+    }
+  }
+
+  void RunFor(milliseconds time) {
+    const auto end = kernel::MonotonicNow() + time;
+    while (kernel::MonotonicNow() < end) {
+      context_.run_one_for(milliseconds(5));
+    }
+  }
+
+  boost::asio::io_context context_;
+  settings::Settings settings_;
+  std::optional<Peers> peers_;
+  std::unique_ptr<Client> client_;
+  bool is_leading_ = false;
+  int tries_ = 0;
+  int done_ = 0;
+};
+
+// After a loss of power, heartbeats and requests of a whole fleet wait for a
+// leader. Tried fifty times a second each, they kept control hosts from
+// electing one.
+TEST_F(LeaderSearchTest, CallsThatFindNoLeaderAreTriedLessAndLess) {
+  Call(50);
+  RunFor(milliseconds(1000));
+  EXPECT_GE(tries_, 100);
+  EXPECT_LE(tries_, 50 * 10);
+}
+
+TEST_F(LeaderSearchTest, ACallThatReachesTheLeaderWakesTheOthers) {
+  Call(50);
+  RunFor(milliseconds(700));
+  is_leading_ = true;
+  Call(1);
+  RunFor(milliseconds(10));
+  EXPECT_EQ(done_, 51);
+}
+
 }  // namespace
 }  // namespace sassafras::cluster
