Job queues: logs tell who votes and why nobody leads

Change: MembershipLog writes 'membership' (voters, learners, quorum) on each change and 'no-quorum' (needed, granted, missing) once a second on a candidate. The line 'learner' moves there from ControlNode. No decision changes.

--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -211,6 +212,9 @@
   // On a leader, returns the last index up to which the member's durable log is
   // known to match. Returns std::nullopt on other replicas and for non-members.
   std::optional<Index> MatchOf(const ReplicaId& id) const;
+  // Returns the voters that granted this candidate their vote, or their pre-vote
+  // in the round before the election. Of no meaning on other replicas.
+  const std::set<ReplicaId>& Votes() const;
   // Returns whether this replica leads and has committed a record of its term;
   // a leader can serve reads only from then on.
   bool HasCommittedInTerm() const;
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -44,6 +44,7 @@
   Index LastIndex() const { return log_.Last(); }
   Index SnapshotIndex() const;
   std::optional<Index> MatchOf(const ReplicaId& id) const;
+  const std::set<ReplicaId>& Votes() const { return votes_; }
   bool HasCommittedInTerm() const;
 
  private:
--- a/libs/consensus/src/replica.cc
+++ b/libs/consensus/src/replica.cc
@@ -103,6 +103,10 @@
   return core_->MatchOf(id);
 }
 
+const std::set<ReplicaId>& Replica::Votes() const {
+  return core_->Votes();
+}
+
 bool Replica::HasCommittedInTerm() const {
   return core_->HasCommittedInTerm();
 }
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -17,6 +17,7 @@
 #include "jobcontrol/leader.h"
 #include "jobcontrol/membership.h"
 #include "jobcontrol/messages.h"
+#include "membership_log.h"
 #include "relay_host.h"
 #include "relayed_link.h"
 #include "telemetry/decision.h"
@@ -39,7 +40,6 @@
 // A voter that sent no hello for this long may be removed. Also the minimum
 // time between a role change or a removal and the next removal.
 constexpr auto kVoterLossTimeout = std::chrono::seconds(10);
-constexpr auto kLearnerReportPeriod = std::chrono::seconds(1);
 // The setting jobs.max_lease_ms may shorten it.
 constexpr base::Duration kWorkerLease = std::chrono::milliseconds(4000);
 
@@ -534,8 +534,8 @@
     if (leader_) {
       leader_->Tick();
       RemoveLostVoter();
-      ReportLearners();
     }
+    membership_log_.Report(replica(), Now());
     timer_.expires_after(kTickPeriod);
     timer_.async_wait([self = shared_from_this()](auto ec) {
       if (!ec) {
@@ -572,24 +572,6 @@
     leader_ = Leader::Create(*this, options, leader_metrics_);
   }
 
-  // Writes how far the learners are behind. Until one is promoted, the cluster
-  // bears the loss of one voter less.
-  void ReportLearners() {
-    if (Now() - learners_reported_ < kLearnerReportPeriod) {
-      return;
-    }
-    learners_reported_ = Now();
-    for (const auto& member : replica().GetMembership().learners) {
-      Decision("learner")
-          .With("host", member.name)
-          .With("replica", member.id)
-          .With("match",
-                replica().MatchOf(member.id).value_or(consensus::Index()))
-          .With("last", replica().LastIndex())
-          .Write();
-    }
-  }
-
   void RemoveLostVoter() {
     if (Now() - last_role_change_ < kVoterLossTimeout) {
       return;
@@ -672,7 +654,7 @@
   bool is_leading_ = false;
   std::shared_ptr<Leader> leader_;  // null unless this replica leads
   base::Instant last_role_change_;  // or last removal of a lost voter
-  base::Instant learners_reported_;
+  MembershipLog membership_log_;
   // Times of the last hello, by sender.
   std::map<wire::EntryId, base::Instant> adviser_last_seen_;
   std::map<wire::EntryId, base::Instant> replica_last_seen_;
