--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -16,6 +15,7 @@
 #include <openssl/sha.h>
 
 #include "await.h"
+#include "subnet.h"
 
 namespace sassafras::tests {
 namespace {
@@ -32,14 +32,6 @@
   return path ? path : SASSAFRASD_PATH;
 }
 
-std::string NextSubnet() {
-  static std::atomic<int> count = 0;
-  const int pid = getpid();
-  constexpr int kByte = 200;
-  return "127." + std::to_string(10 + pid % kByte) + "." +
-         std::to_string((pid / kByte + 17 * count++) % kByte + 1) + ".";
-}
-
 std::string Sha256Hex(const std::string& text) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
--- /dev/null
+++ b/tests/harness/job_hosts.cc
@@ -0,0 +1,152 @@
+// Settings, processes and log lines of control hosts under test.
+
+#include "job_hosts.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <ranges>
+#include <regex>
+
+#include "subnet.h"
+
+namespace sassafras::tests {
+namespace {
+
+constexpr int kHttpPort = 8000;
+constexpr int kPeerPort = 7000;
+// Numbers of the roles in decision lines.
+constexpr int kFollowerRole = 1;
+constexpr int kLeaderRole = 3;
+
+// SASSAFRAS_JOBD in the environment names another program, such as one with a
+// guard taken out.
+std::string ProgramPath() {
+  const char* path = std::getenv("SASSAFRAS_JOBD");
+  return path ? path : SASSAFRAS_JOBD_PATH;
+}
+
+}  // namespace
+
+JobHosts::JobHosts(int n) : subnet_(NextSubnet()) {
+  folder_ = std::filesystem::temp_directory_path() /
+            ("sassafras-jobs-" + std::to_string(getpid()) + "-" + subnet_);
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  for (int i = 0; i < n; ++i) {
+    const std::string name = AddHost(true);
+    seeds_ += seeds_.empty() ? "" : ",";
+    seeds_ += hosts_.at(name).address + ":" + std::to_string(kPeerPort);
+  }
+  for (const auto& name : hosts_ | std::views::keys) {
+    Start(name);
+  }
+}
+
+JobHosts::~JobHosts() {
+  hosts_.clear();
+  std::error_code ec;
+  std::filesystem::remove_all(folder_, ec);
+}
+
+std::string JobHosts::Add() {
+  std::string name = AddHost(false);
+  Start(name);
+  return name;
+}
+
+std::string JobHosts::AddHost(bool is_first_start) {
+  const std::string number = std::to_string(hosts_.size() + 1);
+  Host host;
+  host.address = subnet_ + number;
+  host.is_first_start = is_first_start;
+  hosts_.emplace("h" + number, std::move(host));
+  return "h" + number;
+}
+
+void JobHosts::Start(const std::string& name) {
+  Host& host = hosts_.at(name);
+  ++host.boots;
+  WriteSettings(name);
+  host.process =
+      Process({ProgramPath(), "--config", folder_ / (name + ".toml")},
+              folder_ / (name + ".err"));
+}
+
+void JobHosts::WriteSettings(const std::string& name) const {
+  const Host& host = hosts_.at(name);
+  std::ofstream(folder_ / (name + ".toml"))
+      << "[process]\nname = \"" << name << "\"\nzone = \"zone-a\"\n"
+      << "data_folder = \"" << DataFolder(name).string() << "\"\n"
+      << "[http]\naddress = \"" << host.address << "\"\nport = " << kHttpPort
+      << "\n[peer]\naddress = \"" << host.address << "\"\nport = " << kPeerPort
+      << "\n[cluster]\nsecret = \"a secret of the tests\"\nseeds = \"" << seeds_
+      << "\"\nfirst_start = " << (host.is_first_start ? "true" : "false")
+      << "\n[log]\nfile = \"" << LogFile(name).string() << "\"\n";
+}
+
+void JobHosts::Remove(const std::string& name) {
+  hosts_.at(name).process.Kill();
+  std::filesystem::remove_all(DataFolder(name));
+}
+
+void JobHosts::Retire(const std::string& name) {
+  hosts_.at(name).process.Terminate();
+  hosts_.at(name).process.Wait();
+  std::filesystem::remove_all(DataFolder(name));
+}
+
+void JobHosts::LoseDisk(const std::string& name) {
+  Remove(name);
+  hosts_.at(name).is_first_start = false;
+  Start(name);
+}
+
+std::string JobHosts::Leader() const {
+  std::string leader;
+  int newest_term = -1;
+  for (const auto& [name, host] : hosts_) {
+    const RoleLine line = LastRole(name);
+    if (host.process.is_running() && line.role == kLeaderRole &&
+        line.term > newest_term) {
+      leader = name;
+      newest_term = line.term;
+    }
+  }
+  return leader;
+}
+
+std::vector<std::string> JobHosts::Followers() const {
+  std::vector<std::string> followers;
+  for (const auto& [name, host] : hosts_) {
+    if (host.process.is_running() && LastRole(name).role == kFollowerRole) {
+      followers.push_back(name);
+    }
+  }
+  return followers;
+}
+
+JobHosts::RoleLine JobHosts::LastRole(const std::string& name) const {
+  static const std::regex kPattern("decision=role role=([0-9]+) term=([0-9]+)");
+  RoleLine last;
+  std::ifstream log(LogFile(name));
+  for (std::string line; std::getline(log, line);) {
+    std::smatch match;
+    if (std::regex_search(line, match, kPattern)) {
+      last = {std::stoi(match[1]), std::stoi(match[2])};
+    }
+  }
+  return last;
+}
+
+std::filesystem::path JobHosts::LogFile(const std::string& name) const {
+  const int boots = hosts_.at(name).boots;
+  return folder_ / (name + "." + std::to_string(boots) + ".log");
+}
+
+std::filesystem::path JobHosts::DataFolder(const std::string& name) const {
+  return folder_ / name;
+}
+
+}  // namespace sassafras::tests
