Job queues: a lost voter gives way to the host that replaces it

Cause: a control host was replaced for good at 5 s. Its successor became a fourth voter at once, while the gone one kept counting: it was to be removed after ten seconds of silence, which began anew with each change of role (13.5 s). Four voters with one gone bear no further loss. At 20.4 s the leader lost its disk: two of four votes, quorum three, and a host with an empty disk can join only through a leader.

Class: the group's size is believed to be its strength. A host that is gone counts towards the quorum until somebody takes it out, and nothing tied that time to the one after which the next loss must be borne. For the same reason a group of five could shrink to three, where two disks hold all that is acknowledged.

Silence is that of the replica (id), told by consensus, no longer that of the name in hellos through the leader search.

Evidence: no-quorum needed=3 granted=2 in the test's logs before.

--- a/libs/cluster/include/cluster/replica_driver.h
+++ b/libs/cluster/include/cluster/replica_driver.h
@@ -5,6 +5,7 @@
 #ifndef CLUSTER_REPLICA_DRIVER_H_
 #define CLUSTER_REPLICA_DRIVER_H_
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -55,7 +56,8 @@
   wire::EntryId name;  // name of this process
   std::string data_folder;
   base::Duration election_timeout{};
-  base::Duration heartbeat{};  // interval between heartbeats of a leader
+  base::Duration heartbeat{};    // interval between heartbeats of a leader
+  size_t max_voters = SIZE_MAX;  // see consensus::Options
 };
 
 // Receives the outcome of a proposal or membership change.
--- a/libs/cluster/src/replica_driver.cc
+++ b/libs/cluster/src/replica_driver.cc
@@ -69,6 +69,7 @@
   core_options.name = options.name;
   core_options.election_timeout = options.election_timeout;
   core_options.heartbeat = options.heartbeat;
+  core_options.max_voters = options.max_voters;
   consensus::ConsensusReason consensus_why;
   base::Random random = base::Random::FromSystem();
   replica_ = consensus::Replica::Create(core_options, std::move(recovered),
--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,6 +73,9 @@
   // A learner becomes a voter once it is at most this many records behind the
   // leader's log.
   size_t promotion_lag_records = 64;
+  // Further learners stay learners until a voter is removed. With an even
+  // number of voters the quorum is larger, and no more losses can be borne.
+  size_t max_voters = SIZE_MAX;
 };
 
 // --- events ---
@@ -212,8 +216,15 @@
   // On a leader, returns the last index up to which the member's durable log is
   // known to match. Returns std::nullopt on other replicas and for non-members.
   std::optional<Index> MatchOf(const ReplicaId& id) const;
-  // Returns the voters that granted this candidate their vote, or their pre-vote
-  // in the round before the election. Of no meaning on other replicas.
+  // On a leader, returns when each other member last replied, or became a
+  // member or this replica the leader, if that was later. Empty on other
+  // replicas.
+  std::map<ReplicaId, base::Instant> Contacts() const;
+  // On a leader, returns the number of learners that have caught up and could
+  // vote now. 0 on other replicas.
+  size_t CountReadyLearners() const;
+  // Returns the voters that granted this candidate their vote, or their
+  // pre-vote in the round before the election. Of no meaning on other replicas.
   const std::set<ReplicaId>& Votes() const;
   // Returns whether this replica leads and has committed a record of its term;
   // a leader can serve reads only from then on.
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -44,6 +44,8 @@
   Index LastIndex() const { return log_.Last(); }
   Index SnapshotIndex() const;
   std::optional<Index> MatchOf(const ReplicaId& id) const;
+  std::map<ReplicaId, base::Instant> Contacts() const;
+  size_t CountReadyLearners() const;
   const std::set<ReplicaId>& Votes() const { return votes_; }
   bool HasCommittedInTerm() const;
 
@@ -144,6 +146,7 @@
   Index ChangeMembership(Membership membership);
   void StepDownIfRemoved();
   void RefreshPeers();
+  bool IsReadyToVote(const Member& learner) const;
   void PromoteLearner();
   void RunTransfer();
   const Peer* MostUpToDateVoter() const;
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -225,6 +225,14 @@
   return static_cast<size_t>(in_contact) >= membership.Quorum();
 }
 
+std::map<ReplicaId, base::Instant> Replica::Core::Contacts() const {
+  std::map<ReplicaId, base::Instant> contacts;
+  for (const auto& [id, peer] : peers_) {
+    contacts.emplace(id, peer.contact_at);
+  }
+  return contacts;
+}
+
 // A replica that is not a voter in the latest membership of its log becomes a
 // learner and never campaigns.
 void Replica::Core::UpdateRoleFromMembership() {
--- a/libs/consensus/src/membership.cc
+++ b/libs/consensus/src/membership.cc
@@ -115,22 +115,33 @@
   BecomeFollower(hard_state_.term, Member());
 }
 
-// Promotes a learner only once it is at most promotion_lag_records behind. It
-// then lacks only records in flight and can replace another voter that is lost
-// right after the promotion.
+// A learner may vote once it is at most promotion_lag_records behind. It then
+// lacks only records in flight and can replace another voter that is lost right
+// after the promotion.
+bool Replica::Core::IsReadyToVote(const Member& learner) const {
+  const auto it = peers_.find(learner.id);
+  return it != peers_.end() && it->second.mode == PeerMode::kReplicate &&
+         now_ - it->second.contact_at < options_.election_timeout &&
+         Plus(it->second.match_index, options_.promotion_lag_records) >=
+             log_.Last();
+}
+
+size_t Replica::Core::CountReadyLearners() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(memberships_.Latest().learners,
+                            [this](auto& it) { return IsReadyToVote(it); }));
+}
+
 void Replica::Core::PromoteLearner() {
-  if (IsChangePending() || !HasCommittedInTerm() || transfer_) {
+  const size_t voters = memberships_.Latest().voters.size();
+  if (IsChangePending() || !HasCommittedInTerm() || transfer_ ||
+      voters >= options_.max_voters) {
     return;
   }
   Membership membership = memberships_.Latest();
-  const auto is_ready = [this](const Member& member) {
-    const auto it = peers_.find(member.id);
-    return it != peers_.end() && it->second.mode == PeerMode::kReplicate &&
-           now_ - it->second.contact_at < options_.election_timeout &&
-           Plus(it->second.match_index, options_.promotion_lag_records) >=
-               log_.Last();
-  };
-  const auto it = std::ranges::find_if(membership.learners, is_ready);
+  const auto it = std::ranges::find_if(
+      membership.learners,
+      [this](const Member& learner) { return IsReadyToVote(learner); });
   if (it == membership.learners.end()) {
     return;
   }
--- a/libs/consensus/src/replica.cc
+++ b/libs/consensus/src/replica.cc
@@ -103,6 +103,14 @@
   return core_->MatchOf(id);
 }
 
+std::map<ReplicaId, base::Instant> Replica::Contacts() const {
+  return core_->Contacts();
+}
+
+size_t Replica::CountReadyLearners() const {
+  return core_->CountReadyLearners();
+}
+
 const std::set<ReplicaId>& Replica::Votes() const {
   return core_->Votes();
 }
--- a/libs/jobcontrol/include/jobcontrol/membership.h
+++ b/libs/jobcontrol/include/jobcontrol/membership.h
@@ -4,12 +4,15 @@
 #ifndef JOBCONTROL_MEMBERSHIP_H_
 #define JOBCONTROL_MEMBERSHIP_H_
 
+#include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
 #include <variant>
 
 #include "base/time.h"
+#include "consensus/replica.h"
 #include "consensus/types.h"
 #include "settings/settings.h"
 #include "wire/ids.h"
@@ -23,6 +26,20 @@
                      const settings::ClusterSettings& cluster,
                      bool has_state);
 
+// How many control hosts the group needs, and how soon it gives one up.
+struct GroupPolicy {
+  // Hosts that may be lost at the same time, with their disks.
+  size_t tolerated_losses = 1;
+  // A voter that has not replied for longer than this is presumed lost. A new
+  // leader starts to count anew, so a limit far above an election timeout would
+  // not be reached while leaders change.
+  base::Duration max_silence = std::chrono::milliseconds(600);
+
+  // Returns the number of voters that bears these losses: a majority remains,
+  // and each acknowledged record is on a disk that remains.
+  size_t Voters() const;
+};
+
 // The leader's response to a join request.
 struct AlreadyMember {};  // no change is needed
 struct AddMember {
@@ -39,16 +56,24 @@
 JoinAction DecideJoin(const consensus::Membership& members,
                       const consensus::Member& candidate);
 
-// Returns a voter that was silent for longer than `timeout` and is presumed
-// permanently lost. Returns nullopt if there is none, if fewer than three
-// voters would remain (so that no other host has taken its place yet), or if no
-// majority of the remaining voters is reachable.
-std::optional<consensus::ReplicaId> FindLostVoter(
-    const consensus::Membership& members,
-    const consensus::ReplicaId& self,
-    const std::map<wire::EntryId, base::Instant>& last_seen,
-    base::Instant now,
-    base::Duration timeout);
+// What a leader knows about the replicas, at one moment.
+struct GroupView {
+  consensus::Membership members;
+  consensus::ReplicaId self;
+  std::map<consensus::ReplicaId, base::Instant> contacts;  // but for `self`
+  size_t ready_learners = 0;                               // could vote at once
+
+  static GroupView Of(const consensus::Replica& leader);
+};
+
+// Returns a silent voter whose place a learner can take: as long as the voter
+// counts towards the quorum, the group bears one loss less. It joins again if
+// it returns. Returns nullopt if there is no such voter, or if no majority of
+// the remaining voters is in contact.
+std::optional<consensus::ReplicaId> FindReplaceableVoter(
+    const GroupView& group,
+    const GroupPolicy& policy,
+    base::Instant now);
 
 }  // namespace sassafras::jobcontrol
 
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -37,9 +37,6 @@
 constexpr auto kHeardPeriod = std::chrono::milliseconds(200);
 // Hosts that sent no hello for this long get no placement queries.
 constexpr auto kAdviserTimeout = std::chrono::milliseconds(1500);
-// A voter that sent no hello for this long may be removed. Also the minimum
-// time between a role change or a removal and the next removal.
-constexpr auto kVoterLossTimeout = std::chrono::seconds(10);
 // The setting jobs.max_lease_ms may shorten it.
 constexpr base::Duration kWorkerLease = std::chrono::milliseconds(4000);
 
@@ -102,6 +99,8 @@
                               [this] { return replica().GetTerm().value(); })),
         metrics_(metrics),
         leader_metrics_(metrics),
+        group_policy_{.tolerated_losses = settings.cluster.tolerated_losses,
+                      .max_silence = settings.timing.election_timeout},
         self_(settings.peer.ToString()),
         timer_(kernel.control()),
         hello_timer_(kernel.control()),
@@ -113,6 +112,7 @@
     options.data_folder = settings_.process.data_folder;
     options.election_timeout = settings_.timing.election_timeout;
     options.heartbeat = settings_.timing.heartbeat;
+    options.max_voters = group_policy_.Voters();
     cluster::DriverReason driver_why;
     driver_ = cluster::ReplicaDriver::Create(
         kernel_.control(), options, *this,
@@ -262,8 +262,6 @@
         .With("leader", change.leader.name)
         .Write();
     leader_.reset();
-    replica_last_seen_.clear();
-    last_role_change_ = Now();
     is_leading_ = change.role == consensus::Role::kLeader;
     worker_link_->EndTerm();
     if (is_leading_) {
@@ -485,9 +483,6 @@
     if (hello.is_adviser) {
       adviser_last_seen_[hello.name] = Now();
     }
-    if (!hello.replica.empty()) {
-      replica_last_seen_[hello.name] = Now();
-    }
     HelloReply answer;
     answer.members = Members();
     if (hello.replica.empty() &&
@@ -573,17 +568,16 @@
   }
 
   void RemoveLostVoter() {
-    if (Now() - last_role_change_ < kVoterLossTimeout) {
-      return;
-    }
     const auto id =
-        FindLostVoter(replica().GetMembership(), replica().Self().id,
-                      replica_last_seen_, Now(), kVoterLossTimeout);
-    if (id) {
-      Decision("remove-lost-voter").With("replica", *id).Write();
-      last_role_change_ = Now();
-      driver_->Remove(*id, [](const auto&) {});
+        FindReplaceableVoter(GroupView::Of(replica()), group_policy_, Now());
+    if (!id || is_removing_voter_) {
+      return;
     }
+    Decision("remove-lost-voter").With("replica", *id).Write();
+    is_removing_voter_ = true;
+    driver_->Remove(*id, [self = shared_from_this()](const auto&) {
+      self->is_removing_voter_ = false;
+    });
   }
 
   // Reports this host to the leader. OnHelloReply() asks to join if the reply
@@ -637,6 +631,7 @@
   HeardWorkers heard_workers_;
   telemetry::Metrics& metrics_;
   const LeaderMetrics leader_metrics_;
+  const GroupPolicy group_policy_;
   const wire::EntryId self_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer hello_timer_;
@@ -653,11 +648,10 @@
   std::string proposed_bytes_;
   bool is_leading_ = false;
   std::shared_ptr<Leader> leader_;  // null unless this replica leads
-  base::Instant last_role_change_;  // or last removal of a lost voter
+  bool is_removing_voter_ = false;
   MembershipLog membership_log_;
   // Times of the last hello, by sender.
   std::map<wire::EntryId, base::Instant> adviser_last_seen_;
-  std::map<wire::EntryId, base::Instant> replica_last_seen_;
 };
 
 ControlNode::ControlNode(const settings::Settings& settings,
--- a/libs/jobcontrol/src/membership.cc
+++ b/libs/jobcontrol/src/membership.cc
@@ -8,10 +8,15 @@
 namespace sassafras::jobcontrol {
 namespace {
 
-constexpr size_t kMinRemainingVoters = 3;
+// A smaller group doesn't bear the loss of any host.
+constexpr size_t kSmallestGroup = 3;
 
 }  // namespace
 
+size_t GroupPolicy::Voters() const {
+  return std::max(kSmallestGroup, 2 * tolerated_losses + 1);
+}
+
 bool ShouldBootstrap(const settings::Endpoint& self,
                      const settings::ClusterSettings& cluster,
                      bool has_state) {
@@ -35,25 +40,32 @@
   return AddMember{candidate};
 }
 
-std::optional<consensus::ReplicaId> FindLostVoter(
-    const consensus::Membership& members,
-    const consensus::ReplicaId& self,
-    const std::map<wire::EntryId, base::Instant>& last_seen,
-    base::Instant now,
-    base::Duration timeout) {
-  const auto is_reachable = [&](const consensus::Member& member) {
-    const auto it = last_seen.find(member.name);
-    return member.id == self ||
-           (it != last_seen.end() && now - it->second <= timeout);
+GroupView GroupView::Of(const consensus::Replica& leader) {
+  return {leader.GetMembership(), leader.Self().id, leader.Contacts(),
+          leader.CountReadyLearners()};
+}
+
+std::optional<consensus::ReplicaId> FindReplaceableVoter(
+    const GroupView& group,
+    const GroupPolicy& policy,
+    base::Instant now) {
+  const auto& voters = group.members.voters;
+  const size_t remaining = voters.size() - 1;
+  if (remaining + group.ready_learners < policy.Voters()) {
+    return std::nullopt;
+  }
+  const auto is_in_contact = [&](const consensus::Member& member) {
+    const auto it = group.contacts.find(member.id);
+    return member.id == group.self || (it != group.contacts.end() &&
+                                       now - it->second <= policy.max_silence);
   };
-  const size_t remaining = members.voters.size() - 1;
-  const auto reachable =
-      static_cast<size_t>(std::ranges::count_if(members.voters, is_reachable));
-  if (remaining < kMinRemainingVoters || reachable <= remaining / 2) {
+  const auto in_contact =
+      static_cast<size_t>(std::ranges::count_if(voters, is_in_contact));
+  if (in_contact <= remaining / 2) {
     return std::nullopt;
   }
-  const auto it = std::ranges::find_if_not(members.voters, is_reachable);
-  return it == members.voters.end() ? std::nullopt : std::optional(it->id);
+  const auto it = std::ranges::find_if_not(voters, is_in_contact);
+  return it == voters.end() ? std::nullopt : std::optional(it->id);
 }
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/test/membership_test.cc
+++ b/libs/jobcontrol/test/membership_test.cc
@@ -2,6 +2,10 @@
 
 #include "jobcontrol/membership.h"
 
+#include <initializer_list>
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace sassafras::jobcontrol {
@@ -9,8 +13,6 @@
 
 using std::chrono::seconds;
 
-constexpr auto kTimeout = seconds(10);
-
 base::Instant At(int64_t s) {
   return base::Instant(seconds(100 + s));
 }
@@ -49,19 +51,58 @@
       DecideJoin(members, Member("c", "h3"))));
 }
 
-TEST(FindLostVoter, AVoterIsRemovedOnlyIfEnoughVotersRemain) {
+consensus::Membership Voters(std::initializer_list<const char*> ids) {
   consensus::Membership members;
-  members.voters = {Member("a", "h1"), Member("b", "h2"), Member("c", "h3")};
-  const consensus::ReplicaId self("a");
-  std::map<wire::EntryId, base::Instant> last_seen = {
-      {wire::EntryId("h2"), At(20)}, {wire::EntryId("h3"), At(1)}};
-  EXPECT_FALSE(FindLostVoter(members, self, last_seen, At(20), kTimeout))
-      << "only two voters would remain";
-  members.voters.push_back(Member("d", "h4"));
-  last_seen[wire::EntryId("h4")] = At(20);
-  EXPECT_EQ(FindLostVoter(members, self, last_seen, At(20), kTimeout),
+  for (const char* id : ids) {
+    members.voters.push_back(Member(id, std::string("host-") + id));
+  }
+  return members;
+}
+
+// All voters but those in `silent` replied within the limit; `a` leads.
+GroupView View(std::initializer_list<const char*> ids,
+               const std::set<std::string>& silent,
+               size_t ready_learners,
+               const GroupPolicy& policy) {
+  GroupView group{Voters(ids), consensus::ReplicaId("a"), {}, ready_learners};
+  const base::Instant limit = At(20) - policy.max_silence;
+  for (const auto& voter : group.members.voters) {
+    const bool is_silent = silent.contains(voter.id.str());
+    group.contacts[voter.id] = is_silent ? limit - base::Duration(1) : limit;
+  }
+  return group;
+}
+
+TEST(FindReplaceableVoter, ALearnerTakesThePlaceOfASilentVoter) {
+  const GroupPolicy policy;
+  const auto find = [&](const std::set<std::string>& silent, size_t learners) {
+    return FindReplaceableVoter(View({"a", "b", "c"}, silent, learners, policy),
+                                policy, At(20));
+  };
+  EXPECT_EQ(find({"c"}, 1), consensus::ReplicaId("c"));
+  EXPECT_FALSE(find({"c"}, 0)) << "nobody could take its place";
+  EXPECT_FALSE(find({}, 1)) << "each voter replied within the limit";
+  EXPECT_FALSE(find({"b", "c"}, 2))
+      << "no majority of the remaining voters is in contact";
+}
+
+TEST(FindReplaceableVoter, AVoterTooManyNeedsNoLearner) {
+  const GroupPolicy policy;
+  EXPECT_EQ(FindReplaceableVoter(View({"a", "b", "c", "d"}, {"c"}, 0, policy),
+                                 policy, At(20)),
             consensus::ReplicaId("c"));
-  EXPECT_FALSE(FindLostVoter(members, self, last_seen, At(10), kTimeout));
+}
+
+TEST(FindReplaceableVoter, AGroupForTwoLossesKeepsFiveVoters) {
+  GroupPolicy policy;
+  policy.tolerated_losses = 2;
+  const auto find = [&](size_t learners) {
+    return FindReplaceableVoter(
+        View({"a", "b", "c", "d", "e"}, {"d"}, learners, policy), policy,
+        At(20));
+  };
+  EXPECT_FALSE(find(0)) << "two disks could hold all that is acknowledged";
+  EXPECT_EQ(find(1), consensus::ReplicaId("d"));
 }
 
 }  // namespace
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -65,6 +65,8 @@
   std::vector<Endpoint> seeds;
   // The whole cluster starts for the very first time, with empty disks.
   bool is_first_start = false;
+  // Control hosts that may be lost at the same time, with their disks.
+  uint32_t tolerated_losses = 1;
 };
 
 // The job queues of a process; an endpoint with port 0 isn't served.
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -21,6 +21,7 @@
 constexpr int64_t kMaxTimeMs = 3'600'000;
 constexpr int64_t kMaxPort = 65'535;
 constexpr int64_t kMaxThreads = 64;
+constexpr int64_t kMaxToleratedLosses = 8;
 constexpr auto kRequired = Presence::kRequired;
 constexpr auto kOptional = Presence::kOptional;
 
@@ -105,12 +106,15 @@
   std::string secret;
   std::vector<Endpoint> seeds;
   bool is_first_start = false;
+  uint32_t tolerated_losses = ClusterSettings().tolerated_losses;
 };
 
 constexpr Field<ClusterEntry> kClusterFields[] = {
     {"secret", &ClusterEntry::secret, kRequired, TextRule::kSecret},
     {"seeds", &ClusterEntry::seeds, kOptional, TextRule::kEndpoints},
     {"first_start", &ClusterEntry::is_first_start, kOptional},
+    {"tolerated_losses", &ClusterEntry::tolerated_losses, kOptional,
+     TextRule::kPath, 0, kMaxToleratedLosses},
 };
 
 constexpr Field<JobSettings> kJobFields[] = {
@@ -202,6 +206,7 @@
     settings_.cluster.secret = std::move(entry.secret);
     settings_.cluster.seeds = std::move(entry.seeds);
     settings_.cluster.is_first_start = entry.is_first_start;
+    settings_.cluster.tolerated_losses = entry.tolerated_losses;
     if (!settings_.HasSeeds()) {
       ReadPeers(*table);
     }
