--- a/tests/harness/job_hosts.cc
+++ b/tests/harness/job_hosts.cc
@@ -17,6 +17,7 @@
 constexpr int kHttpPort = 8000;
 constexpr int kPeerPort = 7000;
 // Numbers of the roles in decision lines.
+constexpr int kLearnerRole = 0;
 constexpr int kFollowerRole = 1;
 constexpr int kLeaderRole = 3;
 
@@ -118,13 +119,23 @@
 }
 
 std::vector<std::string> JobHosts::Followers() const {
-  std::vector<std::string> followers;
+  return RunningHostsWithRole(kFollowerRole);
+}
+
+std::vector<std::string> JobHosts::Learners() const {
+  return RunningHostsWithRole(kLearnerRole);
+}
+
+std::vector<std::string> JobHosts::RunningHostsWithRole(int role) const {
+  std::vector<std::string> found;
   for (const auto& [name, host] : hosts_) {
-    if (host.process.is_running() && LastRole(name).role == kFollowerRole) {
-      followers.push_back(name);
+    const RoleLine line = LastRole(name);
+    const bool has_joined = line.term > 0;
+    if (host.process.is_running() && has_joined && line.role == role) {
+      found.push_back(name);
     }
   }
-  return followers;
+  return found;
 }
 
 JobHosts::RoleLine JobHosts::LastRole(const std::string& name) const {
--- a/tests/harness/job_hosts.h
+++ b/tests/harness/job_hosts.h
@@ -37,6 +37,8 @@
   std::string Leader() const;
   // Returns the running hosts that vote, but for the leader.
   std::vector<std::string> Followers() const;
+  // Returns the running hosts that have joined and don't vote.
+  std::vector<std::string> Learners() const;
 
  private:
   struct Host {
@@ -55,6 +57,7 @@
   void WriteSettings(const std::string& name) const;
   std::filesystem::path LogFile(const std::string& name) const;
   std::filesystem::path DataFolder(const std::string& name) const;
+  std::vector<std::string> RunningHostsWithRole(int role) const;
   // Returns what the host wrote last about its role.
   RoleLine LastRole(const std::string& name) const;
 
--- a/tests/replaced_host_test.cc
+++ b/tests/replaced_host_test.cc
@@ -37,5 +37,29 @@
   EXPECT_TRUE(AwaitGroup(hosts, 2)) << "the cluster has no leader";
 }
 
+// A host that was told to stop still voted when it was gone, so that the loss
+// of another left one of three votes.
+TEST(ReplacedHostTest, LeaderLosesItsDiskWhenAReplacedHostHasJustStopped) {
+  JobHosts hosts(3);
+  ASSERT_TRUE(AwaitGroup(hosts, 2));
+  hosts.Add();
+  ASSERT_TRUE(Await([&] { return hosts.Learners().size() == 1; }));
+  std::this_thread::sleep_for(kCatchUp);
+  hosts.Retire(hosts.Followers().front());
+  const std::string wiped = hosts.Leader();
+  ASSERT_FALSE(wiped.empty());
+  hosts.LoseDisk(wiped);
+  EXPECT_TRUE(AwaitGroup(hosts, 2)) << "the cluster has no leader";
+}
+
+TEST(ReplacedHostTest, LeaderThatIsToldToStopGivesWayToALearner) {
+  JobHosts hosts(3);
+  ASSERT_TRUE(AwaitGroup(hosts, 2));
+  hosts.Add();
+  ASSERT_TRUE(Await([&] { return hosts.Learners().size() == 1; }));
+  hosts.Retire(hosts.Leader());
+  EXPECT_TRUE(AwaitGroup(hosts, 2)) << "the cluster has no three voters";
+}
+
 }  // namespace
 }  // namespace sassafras::tests
