Job queues: a control host that is told to stop gives its vote to a learner

Change: a stopping process tells so in its hello at once (Service::AnnounceStop, before the first service is drained). The leader treats it as silent: where a learner can take its place, it does, the leader itself included; without a learner nothing changes, as in a rolling restart. A stopping host doesn't ask to join.

--- a/libs/jobcontrol/include/jobcontrol/control_node.h
+++ b/libs/jobcontrol/include/jobcontrol/control_node.h
@@ -50,6 +50,8 @@
 
   std::string_view name() const override { return "control"; }
   bool Start(kernel::KernelReason& why) override;
+  // Lets a learner take this replica's place.
+  void AnnounceStop() override;
   // Transfers leadership to another replica if this one leads.
   void Drain(std::function<void()> done) override;
   void Stop() override;
--- a/libs/jobcontrol/include/jobcontrol/membership.h
+++ b/libs/jobcontrol/include/jobcontrol/membership.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <variant>
 
@@ -62,14 +63,15 @@
   consensus::ReplicaId self;
   std::map<consensus::ReplicaId, base::Instant> contacts;  // but for `self`
   size_t ready_learners = 0;                               // could vote at once
+  std::set<consensus::ReplicaId> stopping;                 // were told to stop
 
   static GroupView Of(const consensus::Replica& leader);
 };
 
-// Returns a silent voter whose place a learner can take: as long as the voter
-// counts towards the quorum, the group bears one loss less. It joins again if
-// it returns. Returns nullopt if there is no such voter, or if no majority of
-// the remaining voters is in contact.
+// Returns a voter that is silent or stopping and whose place a learner can
+// take: as long as the voter counts towards the quorum, the group bears one
+// loss less. It joins again if it returns. Returns nullopt if there is no such
+// voter, or if no majority of the remaining voters is in contact.
 std::optional<consensus::ReplicaId> FindReplaceableVoter(
     const GroupView& group,
     const GroupPolicy& policy,
--- a/libs/jobcontrol/include/jobcontrol/messages.h
+++ b/libs/jobcontrol/include/jobcontrol/messages.h
@@ -81,12 +81,14 @@
   bool is_adviser = false;       // whether it can query the placement service
   consensus::ReplicaId replica;  // empty if the sender hosts no replica
   uint64_t manifest_version = 0;
+  bool is_stopping = false;  // the sender was told to stop
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Hello,
                                                 name,
                                                 is_adviser,
                                                 replica,
-                                                manifest_version)
+                                                manifest_version,
+                                                is_stopping)
 
 struct HelloReply {
   std::vector<consensus::Member> members;
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -148,6 +149,11 @@
     driver_->Close();
   }
 
+  void AnnounceStop() {
+    is_stopping_ = true;
+    SendHello();
+  }
+
   cluster::ReplicaDriver& driver() { return *driver_; }
   const consensus::Replica& replica() const { return driver_->replica(); }
   boost::asio::io_context& control() { return kernel_.control(); }
@@ -262,6 +268,7 @@
         .With("leader", change.leader.name)
         .Write();
     leader_.reset();
+    stopping_replicas_.clear();
     is_leading_ = change.role == consensus::Role::kLeader;
     worker_link_->EndTerm();
     if (is_leading_) {
@@ -483,6 +490,11 @@
     if (hello.is_adviser) {
       adviser_last_seen_[hello.name] = Now();
     }
+    if (hello.is_stopping) {
+      stopping_replicas_.insert(hello.replica);
+    } else {
+      stopping_replicas_.erase(hello.replica);
+    }
     HelloReply answer;
     answer.members = Members();
     if (hello.replica.empty() &&
@@ -568,8 +580,9 @@
   }
 
   void RemoveLostVoter() {
-    const auto id =
-        FindReplaceableVoter(GroupView::Of(replica()), group_policy_, Now());
+    GroupView group = GroupView::Of(replica());
+    group.stopping = stopping_replicas_;
+    const auto id = FindReplaceableVoter(group, group_policy_, Now());
     if (!id || is_removing_voter_) {
       return;
     }
@@ -587,6 +600,7 @@
     hello.name = self_;
     hello.is_adviser = true;
     hello.replica = replica().Self().id;
+    hello.is_stopping = is_stopping_;
     client_->Call(std::string(kHelloMethod), hello, kHelloTimeout,
                   cluster::Resend::kYes,
                   [self = shared_from_this()](const wire::ControlReply& reply) {
@@ -616,7 +630,7 @@
     const bool is_member =
         std::ranges::find(answer->members, id, &consensus::Member::id) !=
         answer->members.end();
-    if (!is_member) {
+    if (!is_member && !is_stopping_) {
       client_->Call(std::string(kJoinMethod), replica().Self(), kHelloTimeout,
                     cluster::Resend::kYes, [](const auto&) {});
     }
@@ -649,6 +663,9 @@
   bool is_leading_ = false;
   std::shared_ptr<Leader> leader_;  // null unless this replica leads
   bool is_removing_voter_ = false;
+  bool is_stopping_ = false;  // this process was told to stop
+  // Replicas that said so to this leader. One that runs again says it doesn't.
+  std::set<consensus::ReplicaId> stopping_replicas_;
   MembershipLog membership_log_;
   // Times of the last hello, by sender.
   std::map<wire::EntryId, base::Instant> adviser_last_seen_;
@@ -731,6 +748,10 @@
   return is_open;
 }
 
+void ControlNode::AnnounceStop() {
+  boost::asio::post(impl_->control(), [impl = impl_] { impl->AnnounceStop(); });
+}
+
 void ControlNode::Drain(std::function<void()> done) {
   boost::asio::post(impl_->control(),
                     [impl = impl_, done = std::move(done)]() mutable {
--- a/libs/jobcontrol/src/membership.cc
+++ b/libs/jobcontrol/src/membership.cc
@@ -41,8 +41,11 @@
 }
 
 GroupView GroupView::Of(const consensus::Replica& leader) {
-  return {leader.GetMembership(), leader.Self().id, leader.Contacts(),
-          leader.CountReadyLearners()};
+  return {leader.GetMembership(),
+          leader.Self().id,
+          leader.Contacts(),
+          leader.CountReadyLearners(),
+          {}};
 }
 
 std::optional<consensus::ReplicaId> FindReplaceableVoter(
@@ -56,8 +59,10 @@
   }
   const auto is_in_contact = [&](const consensus::Member& member) {
     const auto it = group.contacts.find(member.id);
-    return member.id == group.self || (it != group.contacts.end() &&
-                                       now - it->second <= policy.max_silence);
+    const bool has_replied =
+        member.id == group.self ||
+        (it != group.contacts.end() && now - it->second <= policy.max_silence);
+    return has_replied && !group.stopping.contains(member.id);
   };
   const auto in_contact =
       static_cast<size_t>(std::ranges::count_if(voters, is_in_contact));
--- a/libs/jobcontrol/test/membership_test.cc
+++ b/libs/jobcontrol/test/membership_test.cc
@@ -86,6 +86,19 @@
       << "no majority of the remaining voters is in contact";
 }
 
+TEST(FindReplaceableVoter, ALearnerTakesThePlaceOfAVoterThatStops) {
+  const GroupPolicy policy;
+  for (const char* stopping : {"a", "c"}) {
+    GroupView group = View({"a", "b", "c"}, {}, 1, policy);
+    group.stopping.insert(consensus::ReplicaId(stopping));
+    EXPECT_EQ(FindReplaceableVoter(group, policy, At(20)),
+              consensus::ReplicaId(stopping));
+    group.ready_learners = 0;
+    EXPECT_FALSE(FindReplaceableVoter(group, policy, At(20)))
+        << "it will be back after a restart";
+  }
+}
+
 TEST(FindReplaceableVoter, AVoterTooManyNeedsNoLearner) {
   const GroupPolicy policy;
   EXPECT_EQ(FindReplaceableVoter(View({"a", "b", "c", "d"}, {"c"}, 0, policy),
--- a/libs/kernel/include/kernel/kernel.h
+++ b/libs/kernel/include/kernel/kernel.h
@@ -22,8 +22,8 @@
 enum class KernelError { kNone, kServiceFailed };
 using KernelReason = base::Reason<KernelError>;
 
-// One part of the process. Start, Drain and Stop are called from the main
-// thread, in that order, each at most once.
+// One part of the process. Start, AnnounceStop, Drain and Stop are called from
+// the main thread, in that order, each at most once.
 class Service {
  public:
   virtual ~Service() = default;
@@ -34,6 +34,10 @@
   // Begins work. Services added earlier are already running.
   virtual bool Start(KernelReason& why) = 0;
 
+  // Tells others that this process is about to stop. Called on every service
+  // before the first is drained; must not block.
+  virtual void AnnounceStop() {}
+
   // Stops taking new work and calls `done` (on any thread) once nothing is in
   // flight. Services are drained in the reverse order of their addition.
   virtual void Drain(std::function<void()> done) { done(); }
--- a/libs/kernel/src/kernel.cc
+++ b/libs/kernel/src/kernel.cc
@@ -67,6 +67,7 @@
 
   // Each service is given what is left of the limit.
   void DrainServices(base::Duration limit) {
+    std::ranges::for_each(services_, [](auto& it) { it->AnnounceStop(); });
     const auto end = std::chrono::steady_clock::now() + limit;
     for (auto& service : services_ | std::views::reverse) {
       // Shared, because a service may finish after its time has run out.
--- a/libs/kernel/test/kernel_test.cc
+++ b/libs/kernel/test/kernel_test.cc
@@ -20,6 +20,7 @@
     events_->push_back("start " + name_);
     return starts_ || why.Set(KernelError::kServiceFailed, name_ + " failed");
   }
+  void AnnounceStop() override { events_->push_back("announce " + name_); }
   void Drain(std::function<void()> done) override {
     events_->push_back("drain " + name_);
     done();
@@ -42,8 +43,9 @@
   kernel->RequestStop();
   KernelReason why;
   EXPECT_TRUE(kernel->Run(std::chrono::seconds(1), why));
-  const std::vector<std::string> expected = {"start a", "start b", "drain b",
-                                             "drain a", "stop b",  "stop a"};
+  const std::vector<std::string> expected = {
+      "start a", "start b", "announce a", "announce b",
+      "drain b", "drain a", "stop b",     "stop a"};
   EXPECT_EQ(events, expected);
 }
 
