Tests: more kinds of loss for the simulated group of control hosts, red

Red with the fix: a voter that is only silent is removed before the learner votes. If the leader loses its disk between the two, the two voters left by the removal are one, though all hosts are back.

--- a/libs/jobcontrol/test/group_test.cc
+++ b/libs/jobcontrol/test/group_test.cc
@@ -31,6 +31,8 @@
 constexpr uint64_t kCatchUp = Steps(4000);
 // The cluster must serve again this long after a loss that it bears.
 constexpr uint64_t kRecovery = Steps(12'000);
+// How long at most both run when a host is replaced as planned.
+constexpr uint64_t kMaxLead = Steps(6000);
 constexpr int kLosses = 12;  // in one run
 
 // A place for a control host. The host in it is exchanged when it is replaced.
@@ -66,7 +68,9 @@
       Run(1);
     }
     Place& place = PlaceToLose();
-    switch (Random(4)) {
+    place.lost_until = UINT64_MAX;
+    uint64_t back_at = 0;
+    switch (Random(7)) {
       case 0:
         Kill(place);
         break;
@@ -76,13 +80,81 @@
       case 2:
         Replace(place);
         break;
+      case 3:
+        Freeze(place);
+        break;
+      case 4:
+        Cut(place, true, true);
+        break;
+      case 5:
+        Random(2) == 0 ? Cut(place, true, false) : Cut(place, false, true);
+        break;
       default:
-        ReplaceAsPlanned(place);
+        back_at = ReplaceAsPlanned(place);
     }
-    place.lost_until = cluster_.Now() + kCatchUp;
+    back_at = back_at == 0 ? cluster_.Now() : back_at;
+    place.lost_until = back_at + kCatchUp;
     Run(Random(2 * kCatchUp));
   }
 
+  // Loses hosts beyond what is borne, but no more disks than that, and perhaps
+  // while a successor already runs. Returns once all are back.
+  void LoseManyHosts() {
+    while (CountLost() > 0) {
+      Run(1);
+    }
+    Place* leaving = Random(2) == 0 ? &PlaceToLose() : nullptr;
+    const size_t old = leaving ? leaving->host : 0;
+    const size_t successor = leaving ? cluster_.AddHost() : 0;
+    Run(Random(Steps(2000)));
+    std::vector<size_t> order;
+    for (const Place& it : places_) {
+      order.push_back(it.host);
+    }
+    for (size_t n = order.size(); n > 1; --n) {
+      std::swap(order[n - 1], order[Random(n)]);
+    }
+    const size_t away = Random(order.size() + 1);
+    size_t disks = policy_.tolerated_losses;
+    const uint64_t end = cluster_.Now() + Steps(5000);
+    for (size_t n = 0; n < away; ++n) {
+      const size_t host = order[n];
+      switch (Random(4)) {
+        case 0:
+          cluster_.Crash(host);
+          break;
+        case 1:
+          cluster_.hosts_[host].frozen_until = end;
+          break;
+        case 2:
+          SetCut(host, true, true, true);
+          break;
+        default:
+          if (disks > 0) {
+            --disks;
+            cluster_.LoseDisk(host);
+          } else {
+            cluster_.Crash(host);
+          }
+      }
+      Run(Random(3) == 0 ? 0 : Random(Steps(1000)));
+    }
+    Run(end > cluster_.Now() ? end - cluster_.Now() : 0);
+    for (const size_t host : order) {
+      SetCut(host, true, true, false);
+      cluster_.Start(host);
+    }
+    if (leaving) {
+      // The old host is taken away once all are sound again.
+      Run(kRecovery);
+      Remove(old);
+      leaving->host = successor;
+    }
+    for (Place& it : places_) {
+      it.lost_until = cluster_.Now() + kCatchUp;
+    }
+  }
+
   // Whether the cluster commits a command in time.
   bool Serves() {
     std::optional<Token> token;
@@ -155,12 +227,59 @@
     place.host = cluster_.AddHost();
   }
 
-  // The successor starts first.
-  void ReplaceAsPlanned(Place& place) {
+  // The successor starts first. Returns when it did: the old host stops
+  // counting as lost once its successor has had its time to catch up.
+  uint64_t ReplaceAsPlanned(Place& place) {
     const size_t old = place.host;
+    const uint64_t started_at = cluster_.Now();
     place.host = cluster_.AddHost();
-    Run(Random(Steps(1000)));
+    Run(Random(kMaxLead));
+    HandLeadershipOver(old);
     Remove(old);
+    return started_at;
+  }
+
+  // What a leader does when it is stopped gracefully.
+  void HandLeadershipOver(size_t host) {
+    const auto is_leader = [&] {
+      return cluster_.hosts_[host].replica->GetRole() ==
+             consensus::Role::kLeader;
+    };
+    for (uint64_t n = 0; n < Steps(2500) && is_leader(); ++n) {
+      if (n % Steps(20) == 0) {
+        cluster_.Step(host, consensus::TransferLeadership{});
+      }
+      Run(1);
+    }
+  }
+
+  void Freeze(Place& place) {
+    const uint64_t steps = Random(Steps(4000));
+    cluster_.hosts_[place.host].frozen_until = cluster_.Now() + steps;
+    Run(steps);
+  }
+
+  // Cuts the host off from all others, in one direction or both.
+  void Cut(Place& place, bool sends, bool receives) {
+    SetCut(place.host, sends, receives, true);
+    Run(Random(Steps(5500)));
+    SetCut(place.host, sends, receives, false);
+  }
+
+  void SetCut(size_t host, bool sends, bool receives, bool is_cut) {
+    for (size_t i = 0; i < cluster_.hosts_.size(); ++i) {
+      if (sends) {
+        cluster_.SetLinkBlocked(host, i, is_cut);
+      }
+      if (receives) {
+        cluster_.SetLinkBlocked(i, host, is_cut);
+      }
+    }
+    if (is_cut) {
+      cut_.insert(host);
+    } else {
+      cut_.erase(host);
+    }
   }
 
   void Remove(size_t host) {
@@ -192,6 +311,7 @@
   void ForEachLeader(Action action) {
     for (size_t i = 0; i < cluster_.hosts_.size(); ++i) {
       if (cluster_.IsUp(i) &&
+          cluster_.hosts_[i].frozen_until <= cluster_.Now() &&
           cluster_.hosts_[i].replica->GetRole() == consensus::Role::kLeader) {
         action(i);
       }
@@ -211,7 +331,11 @@
     for (size_t i = 0; i < cluster_.hosts_.size(); ++i) {
       const bool is_leader = cluster_.hosts_[leader].replica->GetRole() ==
                              consensus::Role::kLeader;
-      if (!cluster_.IsUp(i) || removed_.contains(i) || !is_leader) {
+      // A hello needs a path in both directions and a host that runs.
+      const bool says_hello = cluster_.IsUp(i) && !removed_.contains(i) &&
+                              !cut_.contains(i) && !cut_.contains(leader) &&
+                              cluster_.hosts_[i].frozen_until <= cluster_.Now();
+      if (!says_hello || !is_leader) {
         continue;
       }
       const JoinAction action =
@@ -229,6 +353,7 @@
   GroupPolicy policy_;
   std::vector<Place> places_;
   std::set<size_t> removed_;
+  std::set<size_t> cut_;
   uint64_t last_token_ = 1'000'000;
   int count_ = 0;
 };
@@ -252,5 +377,24 @@
   CheckLosses(2);
 }
 
+void CheckLossesOfMany(size_t tolerated_losses) {
+  Group group(tolerated_losses,
+              *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+  RC_ASSERT(group.Form());
+  for (int n = 0; n < kLosses; ++n) {
+    group.LoseManyHosts();
+    RC_ASSERT(group.Serves());
+    RC_ASSERT(group.Fault() == "");
+  }
+}
+
+RC_GTEST_PROP(GroupTest, ThreeHostsServeAgainAfterMoreLossesButOneDisk, ()) {
+  CheckLossesOfMany(1);
+}
+
+RC_GTEST_PROP(GroupTest, FiveHostsServeAgainAfterMoreLossesButTwoDisks, ()) {
+  CheckLossesOfMany(2);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
