Job queues: a learner votes before the lost voter is removed

What callers would see: nobody leads again after one lost disk, though all control hosts are back.

If the voter was only frozen, cut off or killed with its disk kept, and the leader loses its disk between the two records, the removal leaves two voters of which one is gone.

Change: DecideLoss gives the vote to a learner first (event PromoteLearner, the only way past max_voters) and removes the lost voter when there is one voter too many. Of four voters with one silent, the silent one still counts if it comes back. The change of order is as quick: both are one record each.

The three ReplacedHostTests pass.

--- a/libs/cluster/include/cluster/replica_driver.h
+++ b/libs/cluster/include/cluster/replica_driver.h
@@ -94,6 +94,7 @@
   // up.
   void AddLearner(const consensus::Member& member, ResolvedDone done);
   // Removes a replica from the group.
+  void PromoteLearner();
   void Remove(const consensus::ReplicaId& id, ResolvedDone done);
   // Starts a transfer of leadership to another voter.
   void TransferLeadership();
--- a/libs/cluster/src/replica_driver.cc
+++ b/libs/cluster/src/replica_driver.cc
@@ -155,6 +155,10 @@
   StepWithToken(consensus::AddLearner{.member = member}, std::move(done));
 }
 
+void ReplicaDriver::PromoteLearner() {
+  Step(consensus::PromoteLearner{});
+}
+
 void ReplicaDriver::Remove(const consensus::ReplicaId& id, ResolvedDone done) {
   StepWithToken(consensus::RemoveMember{.id = id}, std::move(done));
 }
--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -73,7 +73,7 @@
   // A learner becomes a voter once it is at most this many records behind the
   // leader's log.
   size_t promotion_lag_records = 64;
-  // Further learners stay learners until a voter is removed. With an even
+  // Further learners stay learners until PromoteLearner. With an even
   // number of voters the quorum is larger, and no more losses can be borne.
   size_t max_voters = SIZE_MAX;
 };
@@ -108,6 +108,10 @@
   Token token;
   Member member;
 };
+// Gives the vote to a learner that has caught up, even if Options::max_voters
+// vote already, so that a voter can be removed afterwards. Ignored by replicas
+// that do not lead, and while another membership change is pending.
+struct PromoteLearner {};
 // Removes a voter or learner. Resolved when the removal is committed.
 struct RemoveMember {
   Token token;
@@ -138,6 +142,7 @@
                            ReadBarrier,
                            Bootstrap,
                            AddLearner,
+                           PromoteLearner,
                            RemoveMember,
                            TransferLeadership,
                            Synced,
--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -94,7 +94,9 @@
   if (!IsLeader()) {
     return;  // stepped down after committing its own removal
   }
-  PromoteLearner();
+  if (memberships_.Latest().voters.size() < options_.max_voters) {
+    PromoteReadyLearner();
+  }
   RunTransfer();
   for (Peer& peer : peers_ | std::views::values) {
     Replicate(peer);
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -59,6 +59,7 @@
   void On(const ReadBarrier& event);
   void On(const Bootstrap& event);
   void On(const AddLearner& event);
+  void On(const PromoteLearner& event);
   void On(const RemoveMember& event);
   void On(const TransferLeadership& event);
   void On(const Synced& event);
@@ -147,7 +148,7 @@
   void StepDownIfRemoved();
   void RefreshPeers();
   bool IsReadyToVote(const Member& learner) const;
-  void PromoteLearner();
+  void PromoteReadyLearner();
   void RunTransfer();
   const Peer* MostUpToDateVoter() const;
   void SendTimeoutNow(const Member& to);
--- a/libs/consensus/src/membership.cc
+++ b/libs/consensus/src/membership.cc
@@ -132,10 +132,14 @@
                             [this](auto& it) { return IsReadyToVote(it); }));
 }
 
-void Replica::Core::PromoteLearner() {
-  const size_t voters = memberships_.Latest().voters.size();
-  if (IsChangePending() || !HasCommittedInTerm() || transfer_ ||
-      voters >= options_.max_voters) {
+void Replica::Core::On(const PromoteLearner&) {
+  if (IsLeader()) {
+    PromoteReadyLearner();
+  }
+}
+
+void Replica::Core::PromoteReadyLearner() {
+  if (IsChangePending() || !HasCommittedInTerm() || transfer_) {
     return;
   }
   Membership membership = memberships_.Latest();
--- a/libs/jobcontrol/include/jobcontrol/membership.h
+++ b/libs/jobcontrol/include/jobcontrol/membership.h
@@ -68,14 +68,20 @@
   static GroupView Of(const consensus::Replica& leader);
 };
 
-// Returns a voter that is silent or stopping and whose place a learner can
-// take: as long as the voter counts towards the quorum, the group bears one
-// loss less. It joins again if it returns. Returns nullopt if there is no such
-// voter, or if no majority of the remaining voters is in contact.
-std::optional<consensus::ReplicaId> FindReplaceableVoter(
-    const GroupView& group,
-    const GroupPolicy& policy,
-    base::Instant now);
+// What the leader does about a voter that is lost.
+struct KeepMembers {};   // nothing
+struct PromoteSpare {};  // gives the vote to a learner
+using LossAction = std::variant<KeepMembers, PromoteSpare, RemoveMember>;
+
+// Decides how a voter that is silent or stopping gives way: as long as it
+// counts towards the quorum, the group bears one loss less. A learner votes
+// first, and the lost voter is removed after that; in the other order, the
+// group would have a voter too few in between. Without a learner nothing
+// changes, since the voter may come back. A removed replica joins again if it
+// returns.
+LossAction DecideLoss(const GroupView& group,
+                      const GroupPolicy& policy,
+                      base::Instant now);
 
 }  // namespace sassafras::jobcontrol
 
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -530,7 +530,7 @@
   }
 
   // Runs periodic work: creates the leader once this replica has applied all
-  // earlier commits, and removes lost voters while it leads.
+  // earlier commits, and replaces lost voters while it leads.
   void Tick() {
     if (is_leading_ && !leader_ && driver_->IsReadyToLead()) {
       BeginTerm();
@@ -540,7 +540,7 @@
     }
     if (leader_) {
       leader_->Tick();
-      RemoveLostVoter();
+      ReplaceLostVoter();
     }
     membership_log_.Report(replica(), Now());
     timer_.expires_after(kTickPeriod);
@@ -579,16 +579,21 @@
     leader_ = Leader::Create(*this, options, leader_metrics_);
   }
 
-  void RemoveLostVoter() {
+  void ReplaceLostVoter() {
     GroupView group = GroupView::Of(replica());
     group.stopping = stopping_replicas_;
-    const auto id = FindReplaceableVoter(group, group_policy_, Now());
-    if (!id || is_removing_voter_) {
+    const LossAction action = DecideLoss(group, group_policy_, Now());
+    if (std::holds_alternative<PromoteSpare>(action)) {
+      driver_->PromoteLearner();
       return;
     }
-    Decision("remove-lost-voter").With("replica", *id).Write();
+    const auto* remove = std::get_if<RemoveMember>(&action);
+    if (remove == nullptr || is_removing_voter_) {
+      return;
+    }
+    Decision("remove-lost-voter").With("replica", remove->id).Write();
     is_removing_voter_ = true;
-    driver_->Remove(*id, [self = shared_from_this()](const auto&) {
+    driver_->Remove(remove->id, [self = shared_from_this()](const auto&) {
       self->is_removing_voter_ = false;
     });
   }
--- a/libs/jobcontrol/src/membership.cc
+++ b/libs/jobcontrol/src/membership.cc
@@ -48,29 +48,30 @@
           {}};
 }
 
-std::optional<consensus::ReplicaId> FindReplaceableVoter(
-    const GroupView& group,
-    const GroupPolicy& policy,
-    base::Instant now) {
+LossAction DecideLoss(const GroupView& group,
+                      const GroupPolicy& policy,
+                      base::Instant now) {
   const auto& voters = group.members.voters;
-  const size_t remaining = voters.size() - 1;
-  if (remaining + group.ready_learners < policy.Voters()) {
-    return std::nullopt;
-  }
-  const auto is_in_contact = [&](const consensus::Member& member) {
+  const auto is_lost = [&](const consensus::Member& member) {
     const auto it = group.contacts.find(member.id);
     const bool has_replied =
         member.id == group.self ||
         (it != group.contacts.end() && now - it->second <= policy.max_silence);
-    return has_replied && !group.stopping.contains(member.id);
+    return !has_replied || group.stopping.contains(member.id);
   };
-  const auto in_contact =
-      static_cast<size_t>(std::ranges::count_if(voters, is_in_contact));
-  if (in_contact <= remaining / 2) {
-    return std::nullopt;
+  const auto lost = std::ranges::find_if(voters, is_lost);
+  if (lost == voters.end()) {
+    return KeepMembers{};
   }
-  const auto it = std::ranges::find_if_not(voters, is_in_contact);
-  return it == voters.end() ? std::nullopt : std::optional(it->id);
+  if (voters.size() <= policy.Voters()) {
+    return group.ready_learners > 0 ? LossAction(PromoteSpare{})
+                                    : LossAction(KeepMembers{});
+  }
+  const size_t remaining = voters.size() - 1;
+  const auto sound = voters.size() - static_cast<size_t>(std::ranges::count_if(
+                                         voters, is_lost));
+  return sound > remaining / 2 ? LossAction(RemoveMember{lost->id})
+                               : LossAction(KeepMembers{});
 }
 
 }  // namespace sassafras::jobcontrol
