Tests: calls that learn the new leader together must reach it, red

What callers saw: during a planned restart of a control host, a keyed booking answered with 503 not-admitted, 'the cluster has no quorum', outcome unknown, although the cluster had a leader all the time.

In one run host r1 leads; both calls ask r2, which names r1. The first reply turns the client to r1, the second turns it back to r2, and this repeats in lockstep at 0, 21, 63, 146, 307 and 628 ms, until the admission's second is over.

The test has two calls open at the old leader and answers both together with the new leader's name.

--- a/libs/cluster/test/client_test.cc
+++ b/libs/cluster/test/client_test.cc
@@ -1,16 +1,19 @@
-// Tests calls to control hosts that can't be reached.
+// Tests calls to control hosts that can't be reached or don't lead.
 
 #include "cluster/client.h"
 
 #include <chrono>
 #include <optional>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "kernel/kernel.h"
+#include "peer/server.h"
 #include "settings/settings.h"
+#include "wire/codec.h"
 
 namespace sassafras::cluster {
 namespace {
@@ -144,5 +147,85 @@
   EXPECT_EQ(done_, 51);
 }
 
+// Two control hosts: leadership has moved from "old", which the client tries
+// first, to "new".
+class LeaderChangeTest : public testing::Test {
+ protected:
+  static constexpr size_t kCalls = 2;
+
+  LeaderChangeTest() {
+    settings_.cluster.secret = "0123456789abcdef";
+    old_ = Serve(
+        "old", [this](const auto&, const auto&, const peer::Respond& respond) {
+          waiting_.push_back(respond);
+          AnswerOnceAllWait();
+        });
+    new_ = Serve("new",
+                 [](const auto&, const auto&, const peer::Respond& respond) {
+                   SendReply(respond, {.status = wire::ReplyStatus::kOk});
+                 });
+    peers_.emplace(settings_, context_.get_executor());
+    client_ = Client::Create(wire::EntryId("entry"), context_, *peers_, {});
+  }
+
+  std::unique_ptr<peer::Server> Serve(const char* name, peer::Handler handler) {
+    peer::ServerReason why;
+    auto server = peer::Server::Create(
+        context_, {"127.0.0.1", 0, settings_.cluster.secret},
+        std::move(handler), why);
+    settings::Peer peer;
+    peer.name = wire::EntryId(name);
+    peer.endpoint = {"127.0.0.1", server->port()};
+    settings_.cluster.peers.push_back(peer);
+    return server;
+  }
+
+  static void SendReply(const peer::Respond& respond,
+                        const wire::ControlReply& reply) {
+    respond(200, wire::EncodeCbor(reply));
+  }
+
+  // The replies to all calls arrive together.
+  void AnswerOnceAllWait() {
+    if (waiting_.size() < kCalls) {
+      return;
+    }
+    for (const auto& respond : std::exchange(waiting_, {})) {
+      ++hints_;
+      SendReply(respond, {.status = wire::ReplyStatus::kNotLeader,
+                          .leader = wire::EntryId("new")});
+    }
+  }
+
+  boost::asio::io_context context_;
+  settings::Settings settings_;
+  std::vector<peer::Respond> waiting_;  // open calls to "old"
+  size_t hints_ = 0;                    // replies of "old"
+  std::unique_ptr<peer::Server> old_;
+  std::unique_ptr<peer::Server> new_;
+  std::optional<Peers> peers_;
+  std::unique_ptr<Client> client_;
+};
+
+// An admission and a renewal were open when leadership moved. Both learned the
+// new leader, but the second reply turned the client away from it again, in
+// every round, until the admission was refused for want of a quorum.
+TEST_F(LeaderChangeTest, CallsThatLearnTheLeaderTogetherReachIt) {
+  size_t done = 0;
+  for (size_t n = 0; n < kCalls; ++n) {
+    client_->Call("propose", nlohmann::json::object(), kCallTimeout,
+                  Resend::kYes, [&](const wire::ControlReply& reply) {
+                    EXPECT_EQ(reply.status, wire::ReplyStatus::kOk);
+                    ++done;
+                  });
+  }
+  const auto deadline = kernel::MonotonicNow() + kTestTimeout;
+  while (done < kCalls && kernel::MonotonicNow() < deadline) {
+    context_.run_one_for(milliseconds(10));
+  }
+  EXPECT_EQ(done, kCalls);
+  EXPECT_EQ(hints_, kCalls) << "the old leader was asked again";
+}
+
 }  // namespace
 }  // namespace sassafras::cluster
