Cluster: a reply that names the leader turns no call away from it

What callers saw: during a planned restart of a control host, a keyed booking answered with 503 not-admitted, 'the cluster has no quorum', outcome unknown, although the cluster had a leader all the time (DrainTest.RollingRestartFailsNoRequest).

Cause: the client compared the leader named in a reply with its current target, to tell a host that names itself. Once another call's reply had already turned the client to that leader, the comparison was true for the wrong reason and the client went on to the next process. An admission and a renewal open together turned it to and fro in each round, as their backoff is the same.

Fix: the named leader is compared with the process that replied, and the client goes on to the next process only if it hasn't left that one yet, as it already did for failed calls.

LeaderChangeTest passes, in 21 ms; before, its calls weren't done after 10 s.

--- a/libs/cluster/src/client.cc
+++ b/libs/cluster/src/client.cc
@@ -96,7 +96,7 @@
       local_handler_(
           call->method, call->body,
           [self = shared_from_this(), call](const wire::ControlReply& it) {
-            self->OnReply(call, it);
+            self->OnReply(call, self->self_, it);
           });
       return;
     }
@@ -121,7 +121,7 @@
                       : std::nullopt;
     if (reply) {
       last_contact_ = kernel::MonotonicNow();
-      OnReply(call, *reply);
+      OnReply(call, target, *reply);
       return;
     }
     // After a reply that can't be decoded the outcome is unknown.
@@ -134,6 +134,7 @@
   }
 
   void OnReply(const std::shared_ptr<PendingCall>& call,
+               const wire::EntryId& from,
                const wire::ControlReply& reply) {
     switch (reply.status) {
       case wire::ReplyStatus::kOk:
@@ -142,7 +143,7 @@
         WakeWaitingCalls();
         return;
       case wire::ReplyStatus::kNotLeader:
-        FollowHint(reply.leader);
+        FollowHint(from, reply.leader);
         break;
       case wire::ReplyStatus::kNotRun:
         call->last_message = reply.message;
@@ -194,24 +195,30 @@
     }
   }
 
-  // Switches to the leader that a reply names. Other processes may still report
-  // a leader that this process can't reach; such hints are ignored for
-  // kIgnoreHintTime.
-  void FollowHint(const wire::EntryId& leader) {
+  // Switches to the leader that the reply of `from` names. Other processes may
+  // still report a leader that this process can't reach; such hints are ignored
+  // for kIgnoreHintTime.
+  void FollowHint(const wire::EntryId& from, const wire::EntryId& leader) {
     const bool is_unreachable = leader == unreachable_target_ &&
                                 kernel::MonotonicNow() < ignore_hints_until_;
-    const bool is_unusable =
-        leader.empty() || leader == target_ || is_unreachable;
-    target_ = is_unusable ? NextPeerAfter(target_) : leader;
+    if (leader.empty() || leader == from || is_unreachable) {
+      LeaveTarget(from);
+    } else {
+      target_ = leader;
+    }
   }
 
-  // When several calls to one target fail, only the first failure switches to
-  // the next process.
   void OnTargetFailed(const wire::EntryId& failed) {
     unreachable_target_ = failed;
     ignore_hints_until_ = kernel::MonotonicNow() + kIgnoreHintTime;
-    if (target_ == failed) {
-      target_ = NextPeerAfter(failed);
+    LeaveTarget(failed);
+  }
+
+  // Goes on to the next process. Of several calls that `from` didn't serve,
+  // only the first does so; the target of the others has already changed.
+  void LeaveTarget(const wire::EntryId& from) {
+    if (target_ == from) {
+      target_ = NextPeerAfter(from);
     }
   }
 
