Tests: a gang that can't start keeps its reservation, red

What users see: the gang loses the capacity that was kept for it to other work, and waits longer, while jobs that fit the capacity wait for the next event.

The test lets a gang hold a reservation of three workers and adds a worker with room for one of its tasks.

--- a/libs/placement/test/scheduler_test.cc
+++ b/libs/placement/test/scheduler_test.cc
@@ -202,6 +202,29 @@
   EXPECT_EQ(cell.CountTasks("g2", TaskState::kDone), 5U);
 }
 
+// The new worker has room for one task of the gang, so the others' workers stay
+// reserved and other work gets only the room beside them.
+TEST(GangTest, FailedStartKeepsReservation) {
+  FakeCell cell;
+  AddWorkers(cell, 1, kPlainCapacity);
+  cell.Submit(MakeBatchJob("long", "x", {12'000, 1024, 0}, 3));
+  cell.PlanUntilEmpty();
+  AddWorkers(cell, 1, {8000, 8192, 0}, "small");
+  cell.Submit(MakeGangJob("g", "x", {12'000, 1024, 0}, 3));
+  // Exceeds Options::gang_reservation_delay, so the gang holds a reservation.
+  cell.Run(seconds(11));
+  cell.AddWorker("new", "zone-0", "rack-0", kPlainCapacity);
+  cell.PlanUntilEmpty();
+  EXPECT_EQ(cell.CountActiveTasks("g"), 0U);
+  cell.Submit(MakeBatchJob("late", "x", {4000, 1024, 0}, 100));
+  cell.Run(seconds(1));
+  // Four on the new worker, two on each small one.
+  EXPECT_EQ(cell.CountActiveTasks("late"), 10U);
+  cell.Cancel(wire::JobId("long"));
+  cell.Run(seconds(1));
+  EXPECT_EQ(cell.CountTasks("g", TaskState::kRunning), 3U);
+}
+
 TEST(FairShareTest, LargeBacklogOfOneOwnerDoesNotStarveAnother) {
   FakeCell cell;
   cell.PutOwner("x", 1);
