Placement: a gang that can't start keeps its reservation

What users see: a gang waits longer than its reservation says, since the capacity kept for it goes to other work; other jobs wait although a worker has room for them.

Cause: a gang is tried with its claims in place when its group is unblocked. Proposing a task removes it from the queue and with that drops its claim. When a later task fits nowhere, the tasks return to the queue, but nothing gave the claims back. The capacity became free during a trial, in which no worker is marked as freed, so no blocked job was tried on it.

Fix: a member of the trial remembers the claim that it gave up, and the rollback restores it. What the plan sees afterwards is then the state before the trial.

--- a/libs/placement/src/policies.cc
+++ b/libs/placement/src/policies.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <ranges>
 #include <tuple>
+#include <utility>
 
 #include "preemption.h"
 
@@ -171,10 +172,52 @@
   return {value.milli_cpus * n, value.memory_mib * n, value.accelerators * n};
 }
 
+// A proposed assignment of a gang's member, and the claim that the member gave
+// up for it.
+struct Member {
+  Task* task = nullptr;
+  WorkerChoice choice;
+  Worker* claim_worker = nullptr;  // null: it had no claim
+  wire::Resources claim;
+};
+
+Member ProposeMember(PlanContext& context,
+                     Task& task,
+                     const WorkerChoice& choice,
+                     const wire::Resources& need) {
+  const Member member{&task, choice, task.claim_worker, task.claim};
+  context.cell.Propose(context.now, task, *choice.worker, need);
+  return member;
+}
+
 // Undoes the proposed assignments of a gang of which one member doesn't fit.
-void Rollback(PlanContext& context, const std::vector<Task*>& placed) {
-  std::ranges::for_each(placed,
-                        [&](Task* task) { context.cell.ReturnToQueue(*task); });
+void Rollback(PlanContext& context, const std::vector<Member>& placed) {
+  Cell& cell = context.cell;
+  for (const Member& it : placed) {
+    cell.ReturnToQueue(*it.task);
+  }
+  for (const Member& it : placed) {
+    if (it.claim_worker != nullptr) {
+      cell.Claim(context.now, *it.task, *it.claim_worker, it.claim);
+    }
+  }
+}
+
+// Adds the proposed assignments to the plan.
+void PlaceGang(PlanContext& context,
+               std::vector<Member> members,
+               const wire::Resources& need) {
+  context.plan.groups.emplace_back();
+  for (Member& it : members) {
+    Worker& worker = *it.choice.worker;
+    if (worker.capacity.accelerators > 0 && !worker.has_free_accelerators) {
+      // No accelerators are left to keep for accelerator work, so other work
+      // may use the rest of the worker.
+      context.cell.MarkFreed(worker);
+    }
+    it.choice.why = "all tasks of the gang at once";
+    Place(context, *it.task, it.choice, need);
+  }
 }
 
 BlockReason TryPlaceGang(PlanContext& context, Job& job) {
@@ -193,8 +236,7 @@
   if (!all.FitsIn(cell.index().total_free())) {
     return BlockReason::kCapacity;
   }
-  std::vector<Task*> placed;
-  std::vector<WorkerChoice> choices;
+  std::vector<Member> placed;
   cell.BeginTrial();
   const std::vector<uint32_t> members(job.pending.begin(), job.pending.end());
   for (uint32_t index : members) {
@@ -205,22 +247,10 @@
       cell.EndTrial();
       return BlockReason::kCapacity;
     }
-    cell.Propose(context.now, task, *choice.worker, need);
-    placed.push_back(&task);
-    choices.push_back(choice);
+    placed.push_back(ProposeMember(context, task, choice, need));
   }
   cell.EndTrial();
-  context.plan.groups.emplace_back();
-  for (size_t n = 0; n < placed.size(); ++n) {
-    Worker& worker = *choices[n].worker;
-    if (worker.capacity.accelerators > 0 && !worker.has_free_accelerators) {
-      // No accelerators are left to keep for accelerator work, so other work
-      // may use the rest of the worker.
-      cell.MarkFreed(worker);
-    }
-    choices[n].why = "all tasks of the gang at once";
-    Place(context, *placed[n], choices[n], need);
-  }
+  PlaceGang(context, std::move(placed), need);
   return BlockReason::kNone;
 }
 
