Tests: a gang that starts elsewhere frees its reservation, red

Scratch output of the shrunk run: in its last plan a gang of nine starts without an attempt having ended, because work that waited for accelerators was cancelled. Its tasks give up claims on the workers w0 and w4, four of them for other workers. The room so freed on w0 and w4 is marked nowhere, so the waiting service isn't tried on it.

The test lets a gang hold a reservation of two workers and start on another one when accelerator work is cancelled. A service that fits only the reserved workers then has 1 of 3 tasks running; 3 are right.

--- a/libs/placement/test/scheduler_test.cc
+++ b/libs/placement/test/scheduler_test.cc
@@ -225,6 +225,32 @@
   EXPECT_EQ(cell.CountTasks("g", TaskState::kRunning), 3U);
 }
 
+// The gang starts on a worker that it didn't reserve, as soon as that needs no
+// longer be kept for accelerator work. No attempt ends meanwhile.
+TEST(GangTest, StartElsewhereFreesReservation) {
+  FakeCell cell;
+  AddWorkers(cell, 1, kPlainCapacity);
+  auto long_job = MakeBatchJob("long", "x", {12'000, 1024, 0}, 3);
+  long_job.priority = wire::Priority::kUrgent;
+  cell.Submit(long_job);
+  cell.PlanUntilEmpty();
+  cell.AddWorker("small", "zone-0", "rack-0", {4000, 8192, 8});
+  cell.Submit(MakeBatchJob("half", "x", {1000, 1024, 5}));
+  cell.Submit(MakeBatchJob("other-half", "x", {1000, 1024, 5}));
+  cell.Submit(MakeGangJob("g", "x", {12'000, 1024, 0}, 2));
+  // Exceeds Options::gang_reservation_delay, so the gang holds a reservation.
+  cell.Run(seconds(11));
+  cell.Submit(MakeServiceJob("late", "x", {4000, 30'000, 0}, 3));
+  cell.AddWorker("new", "zone-0", "rack-0", {24'000, 20'000, 4});
+  cell.Run(seconds(1));
+  ASSERT_EQ(cell.CountActiveTasks("g"), 0U);
+  ASSERT_EQ(cell.CountActiveTasks("late"), 1U);
+  cell.Cancel(wire::JobId("other-half"));
+  cell.Run(seconds(1));
+  EXPECT_EQ(cell.CountActiveTasks("g"), 2U);
+  EXPECT_EQ(cell.CountActiveTasks("late"), 3U);
+}
+
 TEST(FairShareTest, LargeBacklogOfOneOwnerDoesNotStarveAnother) {
   FakeCell cell;
   cell.PutOwner("x", 1);
