Placement: a gang that starts elsewhere frees its reservation

What users see: a service's task waits although a worker has room for it, until some attempt ends.

Cause: a gang that holds a reservation can also be started as ordinary queued work, for instance once accelerator work has stopped waiting. Its tasks give up their claims during the trial placement, in which no worker is marked as freed. Only the reservation's own start marked these workers afterwards.

Fix: when a gang is placed, the workers of the claims that its tasks gave up are marked as freed, so the next plan tries the blocked work on them.

GangTest.StartElsewhereFreesReservation failed before (1 task of 3) and passes; all 50 tests of placement pass.

--- a/libs/placement/src/policies.cc
+++ b/libs/placement/src/policies.cc
@@ -203,7 +203,8 @@
   }
 }
 
-// Adds the proposed assignments to the plan.
+// Adds the proposed assignments to the plan. Claimed capacity that the gang
+// doesn't use is free for other work.
 void PlaceGang(PlanContext& context,
                std::vector<Member> members,
                const wire::Resources& need) {
@@ -215,6 +216,9 @@
       // may use the rest of the worker.
       context.cell.MarkFreed(worker);
     }
+    if (it.claim_worker != nullptr) {
+      context.cell.MarkFreed(*it.claim_worker);
+    }
     it.choice.why = "all tasks of the gang at once";
     Place(context, *it.task, it.choice, need);
   }
