Tests: a repeated transfer starts one candidate, red

What callers see: in a planned restart of the leading control host, requests that need the log wait for some hundred milliseconds longer; nothing was refused by this alone.

Logs of DrainTest: of 202 handovers two had two candidates in the same term. In one of them r2 stops, r3 and r1 become candidates of term 4 within 17 ms, though the leader lived, and r2, whose vote would decide, ends first. Nobody led for 380 ms.

The test lets one follower acknowledge the log, then the other, and repeats the transfer as DrainLeadership() does: the second request tells the other follower to start an election too.

--- a/libs/consensus/test/rules_test.cc
+++ b/libs/consensus/test/rules_test.cc
@@ -144,6 +144,17 @@
     });
   }
 
+  // The replicas that are told to start an election at once.
+  static std::vector<ReplicaId> CandidatesOf(const Effects& effects) {
+    std::vector<ReplicaId> candidates;
+    for (const Message& it : effects.messages) {
+      if (it.kind == MessageKind::kTimeoutNow) {
+        candidates.push_back(it.to.id);
+      }
+    }
+    return candidates;
+  }
+
   base::Instant now_{std::chrono::seconds(10)};
   std::optional<Replica> replica_;
   Sequence sequence_;
@@ -216,6 +227,19 @@
   EXPECT_EQ(Deliver(Ack(kB, 3)).committed.size(), 3U);
 }
 
+// A leader that drains repeats the transfer until it has lost the leadership.
+// Two candidates of one term would split the votes.
+TEST_F(RulesTest, RepeatedTransferStartsOneCandidate) {
+  StartReplica();
+  BecomeLeader();
+  Sync();
+  const uint64_t last = replica_->LastIndex().value();
+  Deliver(Ack(kC, last));
+  EXPECT_EQ(CandidatesOf(Step(TransferLeadership{})), std::vector{kC.id});
+  Deliver(Ack(kB, last));
+  EXPECT_EQ(CandidatesOf(Step(TransferLeadership{})), std::vector{kC.id});
+}
+
 TEST_F(RulesTest, VoteIsRefusedToAnOlderLog) {
   StartReplica({Command(1, 2), Command(2, 3)});
   Deliver(VoteRequestFrom(kB, 3, 1, 9));
