Consensus: a repeated transfer starts one candidate

What callers see: in a planned restart of the leading control host, requests that need the log wait some hundred milliseconds longer.

Cause: a leader that drains repeats the transfer every 20 ms until it has lost the leadership. Each request began a transfer anew, to the voter that came first among those with the whole log. If another one had caught up meanwhile, it too was told to start an election: two candidates in one term, each with its own vote, and the old leader stops before its vote is out.

Fix: a request during a transfer repeats it to the voter that was told first. After an election timeout the transfer is over, as before, and a request chooses anew.

RulesTest.RepeatedTransferStartsOneCandidate failed before and passes; all 45 tests of consensus pass.

--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -111,8 +111,8 @@
 };
 // Transfers leadership to `target` or, if unset, to the voter with the longest
 // matching log. Proposals are rejected until the transfer has completed or an
-// election timeout has passed. Ignored by replicas that do not lead and by a
-// leader that is the only voter.
+// election timeout has passed; a request in the meantime only repeats it.
+// Ignored by replicas that do not lead and by a leader that is the only voter.
 struct TransferLeadership {
   std::optional<ReplicaId> target;
 };
--- a/libs/consensus/src/membership.cc
+++ b/libs/consensus/src/membership.cc
@@ -141,10 +141,17 @@
 
 // --- leadership transfer ---
 
+// A repeated request tells the same voter again. Two candidates in one term
+// would split the votes.
 void Replica::Core::On(const TransferLeadership& event) {
-  if (IsLeader() && memberships_.Latest().voters.size() > 1) {
-    transfer_ = Transfer{event.target, now_ + options_.election_timeout};
+  if (!IsLeader() || memberships_.Latest().voters.size() < 2) {
+    return;
+  }
+  if (transfer_) {
+    transfer_->is_timeout_now_sent = false;
+    return;
   }
+  transfer_ = Transfer{event.target, now_ + options_.election_timeout};
 }
 
 const Peer* Replica::Core::MostUpToDateVoter() const {
@@ -172,6 +179,7 @@
                         memberships_.Latest().IsVoter(peer->member.id);
   if (is_ready && !transfer_->is_timeout_now_sent) {
     transfer_->is_timeout_now_sent = true;
+    transfer_->target = peer->member.id;
     SendTimeoutNow(peer->member);
   }
 }
