--- /dev/null
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -0,0 +1,200 @@
+// A leader with an in-memory job table, log and workers, for tests.
+
+#ifndef JOBCONTROL_TEST_LEADER_FIXTURE_H_
+#define JOBCONTROL_TEST_LEADER_FIXTURE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "jobcontrol/leader.h"
+
+namespace sassafras::jobcontrol {
+
+using std::chrono::milliseconds;
+
+// Commits batches only when Commit() is called, and stores all calls to
+// workers.
+class FakeLeaderContext : public LeaderContext, public WorkerLink {
+ public:
+  struct SentOrder {
+    jobs::WorkerInfo worker;
+    jobs::OrderCall call;
+    OrderDone done;
+  };
+  struct SentHold {
+    jobs::WorkerInfo worker;
+    jobs::HoldCall call;
+    HoldDone done;
+  };
+
+  FakeLeaderContext() {
+    jobs::Manifest manifest;
+    manifest.version = 1;
+    jobs::Queue queue;
+    queue.id = jobs::QueueId("q");
+    queue.service = wire::ServiceId("batch");
+    queue.max_attempts = 3;
+    manifest.queues = {queue};
+    jobs::Batch batch;
+    batch.manifests = {manifest};
+    table_.Apply(batch);
+  }
+
+  const jobs::JobTable& table() const override { return table_; }
+  void Record(std::shared_ptr<const jobs::Batch> batch,
+              RecordDone done) override {
+    waiting_.emplace_back(std::move(batch), std::move(done));
+  }
+  WorkerLink& workers() override { return *this; }
+  std::vector<wire::EntryId> LiveAdvisers(base::Instant) override { return {}; }
+  void QueryAdvice(const wire::EntryId&,
+                   const jobs::AdviceQuery&,
+                   base::Duration,
+                   AdviceDone) override {}
+  void Defer(std::function<void()> then) override {
+    deferred_.push_back(std::move(then));
+  }
+  base::Instant Now() const override { return now_; }
+  base::WallMs WallNow() const override { return 0; }
+
+  void Order(const jobs::WorkerInfo& worker,
+             const jobs::OrderCall& call,
+             uint64_t,
+             OrderDone done) override {
+    orders.push_back({worker, call, std::move(done)});
+  }
+  void Hold(const jobs::WorkerInfo& worker,
+            const jobs::HoldCall& call,
+            uint64_t,
+            HoldDone done) override {
+    holds.push_back({worker, call, std::move(done)});
+  }
+  void QueryAdvice(const jobs::AdviceQuery&,
+                   base::Duration,
+                   AdviceDone) override {}
+
+  // Commits all pending batches, including those that a commit triggers.
+  void Commit() {
+    while (!waiting_.empty()) {
+      CommitNext();
+    }
+  }
+  // Commits the oldest pending batch, if any.
+  void CommitNext() {
+    if (waiting_.empty()) {
+      return;
+    }
+    auto [batch, done] = std::move(waiting_.front());
+    waiting_.pop_front();
+    leader->OnApplied(table_.Apply(*batch));
+    done(RecordResult::kRecorded);
+  }
+  size_t waiting() const { return waiting_.size(); }
+
+  // Returns the number of the last run of the task that was recorded or is
+  // waiting to be.
+  uint64_t LastProposedRun(const jobs::TaskKey& task) const {
+    uint64_t last = table_.FindJob(task.step.job)->FindTask(task)->run;
+    for (const auto& entry : waiting_) {
+      for (const jobs::StartRun& start : entry.first->starts) {
+        last = start.task == task ? std::max(last, start.run) : last;
+      }
+    }
+    return last;
+  }
+
+  // Runs the functions deferred so far; returns whether there were any.
+  bool RunDeferred() {
+    const auto deferred = std::exchange(deferred_, {});
+    std::ranges::for_each(deferred, [](auto& then) { then(); });
+    return !deferred.empty();
+  }
+
+  void Advance(milliseconds time) {
+    now_ += time;
+    leader->Tick();
+  }
+
+  // Answers each open hold with a reply that contains these lists of runs.
+  void AnswerHolds(const jobs::HoldReply& lists) {
+    for (SentHold& hold : std::exchange(holds, {})) {
+      jobs::HoldReply reply = lists;
+      reply.is_answered = true;
+      reply.clock_ms = ClockMs();
+      hold.done(reply);
+    }
+  }
+  int64_t ClockMs() const {
+    return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())
+        .count();
+  }
+
+  std::vector<SentOrder> orders;
+  std::vector<SentHold> holds;
+  std::shared_ptr<Leader> leader;
+
+ private:
+  jobs::JobTable table_;
+  std::deque<std::pair<std::shared_ptr<const jobs::Batch>, RecordDone>>
+      waiting_;
+  std::vector<std::function<void()>> deferred_;
+  base::Instant now_ = base::Instant(milliseconds(1'000'000));
+};
+
+class LeaderTest : public testing::Test {
+ protected:
+  LeaderTest() : metrics_(*registry_) { Elect(1); }
+
+  void Elect(uint64_t term) {
+    context_.holds.clear();
+    context_.orders.clear();
+    context_.leader = Leader::Create(context_, {term, {}}, metrics_);
+  }
+
+  jobs::WorkerInfo Worker(const std::string& id) const {
+    jobs::WorkerInfo info;
+    info.boot = {wire::WorkerId(id), 1};
+    info.address = "10.0.0." + id;  // unique per worker
+    info.service = wire::ServiceId("batch");
+    info.capacity = {4000, 1000, 0};
+    return info;
+  }
+
+  void AddWorker(const std::string& id) {
+    context_.leader->OnHeartbeat(Worker(id), context_.ClockMs(),
+                                 [](RecordResult) {});
+    context_.Commit();
+    context_.leader->OnHeartbeat(Worker(id), context_.ClockMs(),
+                                 [](RecordResult) {});
+  }
+
+  void Submit(const std::string& id, uint32_t count = 1) {
+    jobs::StepSpec step;
+    step.count = count;
+    step.need.cpu_milli = 1000;
+    context_.leader->Submit(
+        {wire::JobId(id), jobs::QueueId("q"), {"text", {step}}},
+        [this](RecordResult result) { submitted_ = result; });
+  }
+
+  const jobs::StartOrder& FirstStart() const {
+    return std::get<jobs::StartOrder>(context_.orders.at(0).call.order);
+  }
+
+  std::unique_ptr<telemetry::Metrics> registry_ = telemetry::Metrics::Create();
+  LeaderMetrics metrics_;
+  FakeLeaderContext context_;
+  RecordResult submitted_ = RecordResult::kNotRecorded;
+};
+
+}  // namespace sassafras::jobcontrol
+
+#endif  // JOBCONTROL_TEST_LEADER_FIXTURE_H_
--- a/libs/jobs/test/job_table_test.cc
+++ b/libs/jobs/test/job_table_test.cc
@@ -79,6 +79,25 @@
       << "the other member occupies its worker until its end is listed";
 }
 
+// Each member of a gang reports its end, and the first of them completes the
+// occurrence.
+TEST(JobTable, AnOccurrenceOfAGangIsCountedOnce) {
+  TableFixture fixture;
+  fixture.AddWorker(Worker("w"));
+  StepSpec gang = Step(2);
+  gang.is_gang = true;
+  Batch batch;
+  batch.jobs = {{wire::JobId("j"), QueueId("q"), {"text", {gang}, 2, 0, 1}}};
+  batch.occurrences = {{wire::JobId("j"), 0}};
+  batch.starts = {{Task("j", 0, 0), 1, Boot("w")},
+                  {Task("j", 0, 1), 1, Boot("w")}};
+  ASSERT_EQ(fixture.table.Apply(batch).started.size(), 2U);
+  fixture.End(Task("j", 0, 0), 1, Boot("w"), kDone);
+  fixture.End(Task("j", 0, 1), 1, Boot("w"), kDone);
+  EXPECT_EQ(fixture.PhaseOf("j"), JobPhase::kActive)
+      << "one of two occurrences is done";
+}
+
 TEST(JobTable, ALongRunningTaskCanRestartAfterAnyOutcome) {
   TableFixture fixture(1);
   fixture.AddWorker(Worker("w"));
