Job queues: ends of a gang count an occurrence once

What callers would see: a job with occurrences whose steps are gangs is shown as completed before its last occurrences have run.

Cause: RecordEnd() finished the step on each end of a run of a step that is done. The first member of a gang completes the step; the end of each other member counted one more occurrence as finished.

Evidence: JobTable.AnOccurrenceOfAGangIsCountedOnce failed before (two members, completed with one of two occurrences done) and passes now.

Why it works: an occurrence is counted only by the end that makes its last step done.

--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -279,12 +279,13 @@
   }
   task.is_open = false;
   --step->open;
+  const bool was_done = step->IsDone();
   if (job.spec.steps[end.task.step.step].is_gang) {
     RecordGangEnd(job, *step, end);
   } else {
     RecordTaskEnd(job, *step, end);
   }
-  if (job.phase == JobPhase::kActive && step->IsDone()) {
+  if (job.phase == JobPhase::kActive && !was_done && step->IsDone()) {
     FinishStep(job, end.task.step.occurrence);
   }
 }
