Job queues: a report replaces the presumed end of its run

Cause: a worker that is declared lost gets an end `lapsed` for each of its runs. Its reply with the true ends came while those were in the batch or being recorded. The table took the first end of a run and dropped the other, or found no such worker any more: an assumption outranked a fact. The progress that the worker had saved, and an attempt that had failed, were dropped in the same way.

Why it works: an end that is concluded from a loss says so (EndRun::is_presumed), and the table remembers it with the task. It frees the worker and lets the task restart as before, but the report of the same run, whenever it is recorded before another run starts, is counted as if it had come first. A report that is listed again counts once, since the first one clears the mark. What the table makes of it doesn't depend on the worker's record, which may be gone.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -306,7 +306,7 @@
     for (const jobs::OpenRun& run : record.runs) {
       batch_.ends.push_back({session.boot(), run.task, run.run,
                              jobs::RunOutcome::kLeaseExpired,
-                             session.CheckpointOf(run.task, run.run)});
+                             session.CheckpointOf(run.task, run.run), true});
     }
     batch_.removed_workers.push_back(session.boot());
   }
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -29,8 +29,16 @@
   bool is_open = false;  // `run` may still occupy a worker
   uint32_t failures = 0;
   std::string checkpoint;  // unused for gangs; see StepRecord::checkpoint
+  // The end of `run` was presumed and may yet be reported.
+  bool is_end_presumed = false;
 };
-WIRE_DEFINE_ARRAY(TaskRecord, run, is_done, is_open, failures, checkpoint)
+WIRE_DEFINE_ARRAY(TaskRecord,
+                  run,
+                  is_done,
+                  is_open,
+                  failures,
+                  checkpoint,
+                  is_end_presumed)
 
 struct StepRecord {
   std::vector<TaskRecord> tasks;
@@ -151,8 +159,11 @@
   uint64_t run = 0;
   RunOutcome outcome = RunOutcome::kStopped;
   std::string checkpoint;  // empty if the worker reported none
+  // Concluded from the loss of the worker, which has not reported this end. A
+  // report replaces it, whichever of the two is recorded first.
+  bool is_presumed = false;
 };
-WIRE_DEFINE_ARRAY(EndRun, worker, task, run, outcome, checkpoint)
+WIRE_DEFINE_ARRAY(EndRun, worker, task, run, outcome, checkpoint, is_presumed)
 
 // Run ends of the worker up to `cursor` are in this batch or were recorded
 // earlier.
@@ -260,7 +271,8 @@
   void Forget(const wire::JobId& id);
 
   void EndAllRuns(WorkerRecord& worker);
-  void RecordEnd(JobRecord& job, const EndRun& end);
+  bool CloseRun(const EndRun& end);
+  void RecordEnd(JobRecord& job, const EndRun& end, bool was_open);
   void RecordGangEnd(JobRecord& job, StepRecord& step, const EndRun& end);
   void RecordTaskEnd(JobRecord& job, StepRecord& step, const EndRun& end);
   void FinishStep(JobRecord& job, uint64_t occurrence);
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -244,41 +244,54 @@
 void JobTable::EndAllRuns(WorkerRecord& worker) {
   const std::vector<OpenRun> runs = worker.runs;
   for (const OpenRun& run : runs) {
-    End({worker.info.boot, run.task, run.run, RunOutcome::kLeaseExpired, ""});
+    End({worker.info.boot, run.task, run.run, RunOutcome::kLeaseExpired, "",
+         true});
   }
 }
 
+// A report may follow the presumed end of its run, when the worker has been
+// removed.
 void JobTable::End(const EndRun& end) {
+  const bool was_open = CloseRun(end);
+  const auto job = jobs_.find(end.task.step.job);
+  if (job != jobs_.end() && (was_open || !end.is_presumed)) {
+    RecordEnd(job->second, end, was_open);
+  }
+}
+
+// Removes the run from its worker. Returns whether it was open there.
+bool JobTable::CloseRun(const EndRun& end) {
   const auto it = workers_.find(end.worker.id);
   if (it == workers_.end() || it->second.info.boot != end.worker) {
-    return;
+    return false;
   }
   std::vector<OpenRun>& runs = it->second.runs;
   const auto ended = std::ranges::find_if(runs, [&](const OpenRun& open) {
     return open.run == end.run && open.task == end.task;
   });
   if (ended == runs.end()) {
-    return;
+    return false;
   }
   it->second.load.Remove(*ended);
   runs.erase(ended);
-  const auto job = jobs_.find(end.task.step.job);
-  if (job != jobs_.end()) {
-    RecordEnd(job->second, end);
-  }
+  return true;
 }
 
-void JobTable::RecordEnd(JobRecord& job, const EndRun& end) {
+void JobTable::RecordEnd(JobRecord& job, const EndRun& end, bool was_open) {
   StepRecord* step = FindStep(end.task.step);
   if (step == nullptr || end.task.index >= step->tasks.size()) {
     return;
   }
   TaskRecord& task = step->tasks[end.task.index];
-  if (task.run != end.run || !task.is_open) {
+  const bool is_expected = was_open ? task.is_open : task.is_end_presumed;
+  if (task.run != end.run || !is_expected) {
     return;
   }
-  task.is_open = false;
-  --step->open;
+  if (was_open) {
+    task.is_open = false;
+    --step->open;
+  }
+  task.is_end_presumed = end.is_presumed;
   const bool was_done = step->IsDone();
   if (job.spec.steps[end.task.step.step].is_gang) {
     RecordGangEnd(job, *step, end);
@@ -408,6 +421,7 @@
   }
   task.run = start.run;
   task.is_open = true;
+  task.is_end_presumed = false;
   ++step->open;
   job->second.has_started = true;
   const StepSpec& step_spec = spec.steps[position];
--- a/libs/jobs/test/job_table_test.cc
+++ b/libs/jobs/test/job_table_test.cc
@@ -234,7 +234,8 @@
       batch.starts = {{task, run, worker}};
     } else {
       batch.ends = {{worker, task, run,
-                     *rc::gen::element(kDone, kFailed, kLeaseExpired), "c"}};
+                     *rc::gen::element(kDone, kFailed, kLeaseExpired), "c",
+                     *rc::gen::arbitrary<bool>()}};
     }
     const auto first = fixture.table.Apply(batch).started.size();
     RC_ASSERT(copy->Apply(batch).started.size() == first);
