Job queues: a task is done even if it was started again before the report

Cause: the table knows one run of a task, the last one. The report of an earlier run was dropped, and then acknowledged by AckCursor, so that nobody could know of it.

The start in between is no second one (TWICE): AckCursor passes the end only after the lease has lapsed, so the end is not one that is taken note of. Only the later run has to end.

Why it works: the end `done` of an earlier run completes its task or gang; the table names the open runs that this makes surplus, and the leader stops them, or the next leader does. What a surplus run ends with counts for nothing.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -110,6 +110,8 @@
                   std::vector<RecordDone> callbacks);
   void Dispatch(const jobs::StartRun& start);
   void StopRunsOf(const wire::JobId& job);
+  void StopSurplusRun(const jobs::StartRun& run);
+  bool IsWanted(const jobs::TaskKey& task) const;
   size_t SendPendingCalls(jobs::WorkerSession& session);
   void StartCallRound();
   void ContinueCallRound();
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -47,8 +47,7 @@
   // Resends stop orders that an earlier leader may not have completed.
   for (const auto& record : context_.table().workers() | std::views::values) {
     for (const jobs::OpenRun& run : record.runs) {
-      const jobs::JobRecord* job = context_.table().FindJob(run.task.step.job);
-      if (job == nullptr || job->phase != jobs::JobPhase::kActive) {
+      if (!IsWanted(run.task)) {
         sessions_.at(record.info.boot.id).Stop(run.task, run.run);
       }
     }
@@ -209,6 +208,8 @@
   }
   std::ranges::for_each(changes.started,
                         [this](auto& start) { Dispatch(start); });
+  std::ranges::for_each(changes.surplus_runs,
+                        [this](auto& run) { StopSurplusRun(run); });
   for (const wire::JobId& job : changes.ended_jobs) {
     const auto phase = context_.table().FindJob(job)->phase;
     Decision("job-ended")
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -79,6 +79,32 @@
   }
 }
 
+void Leader::StopSurplusRun(const jobs::StartRun& run) {
+  jobs::WorkerSession* session = FindSession(run.worker);
+  if (session == nullptr) {
+    return;
+  }
+  Decision("surplus-run")
+      .With("task", FormatTaskName(run.task))
+      .With("run", run.run)
+      .With("worker", run.worker.id)
+      .Write();
+  if (auto end = session->Stop(run.task, run.run)) {
+    AddEnd(*std::move(end));
+  }
+  SendPendingCalls(*session);
+}
+
+// Whether the task still has to run. A task that an earlier run has completed
+// may have a later run that is yet to be stopped.
+bool Leader::IsWanted(const jobs::TaskKey& task) const {
+  const jobs::JobRecord* job = context_.table().FindJob(task.step.job);
+  const jobs::TaskRecord* record =
+      job == nullptr ? nullptr : job->FindTask(task);
+  return record != nullptr && job->phase == jobs::JobPhase::kActive &&
+         !record->is_done;
+}
+
 // Sends the pending calls of all sessions, a few per turn of the event loop. A
 // new leader has to call every worker, and its followers must still receive its
 // consensus heartbeats meanwhile.
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -146,6 +146,50 @@
       context_.table().FindJob(wire::JobId("j"))->FindTask(task)->is_open);
 }
 
+// The worker "w" was taken for gone, and its task was started on "v". Then "w"
+// reported it done, and the leader changed before the stop was carried out.
+TEST_F(LeaderTest, ANewLeaderStopsASurplusRun) {
+  const auto answer = [&](const std::string& id, jobs::HoldReply reply) {
+    for (auto& hold : std::exchange(context_.holds, {})) {
+      reply.is_answered = hold.worker.boot.id == wire::WorkerId(id);
+      reply.clock_ms = context_.ClockMs();
+      hold.done(reply);
+    }
+  };
+  AddWorker("w");
+  context_.AnswerHolds({});
+  jobs::StepSpec first;
+  first.need.cpu_milli = 1000;
+  jobs::StepSpec second = first;
+  second.after = {0};
+  context_.leader->Submit(
+      {wire::JobId("j"), jobs::QueueId("q"), {"text", {first, second}}},
+      [](RecordResult) {});
+  context_.Commit();
+  const jobs::TaskKey task = FirstStart().task;
+  context_.leader->OnLeave(Worker("w").boot, [](RecordResult) {});
+  context_.Commit();
+  AddWorker("v");
+  answer("v", {});
+  context_.Commit();
+  ASSERT_EQ(context_.orders.back().worker.boot.id, wire::WorkerId("v"));
+  AddWorker("w");
+  jobs::HoldReply report;
+  report.ended = {{1, task, 1, jobs::RunOutcome::kDone, ""}};
+  answer("w", report);
+  Elect(2);
+  context_.Commit();
+  Elect(3);
+  jobs::HoldReply running;
+  running.running = {{task, 2, "", 10, 0}};
+  answer("v", running);
+  ASSERT_EQ(context_.orders.size(), 1U);
+  const auto* stop =
+      std::get_if<jobs::StopOrder>(&context_.orders[0].call.order);
+  ASSERT_NE(stop, nullptr);
+  EXPECT_EQ(stop->run, 2U);
+}
+
 // After all control hosts lose power, the next leader has to call every worker
 // while its followers wait for its heartbeats. Sending all calls at once would
 // delay the heartbeats.
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -214,6 +214,8 @@
   std::vector<StartRun> started;  // starts that were applied
   std::vector<wire::JobId> added_jobs;
   std::vector<wire::JobId> ended_jobs;  // jobs that left JobPhase::kActive
+  // Open runs of tasks that an earlier run has completed. Must be stopped.
+  std::vector<StartRun> surplus_runs;
   bool is_manifest_changed = false;
   bool has_worker_changes = false;  // a worker process was added or removed
 
@@ -273,6 +275,8 @@
   void EndAllRuns(WorkerRecord& worker);
   bool CloseRun(const EndRun& end);
   void RecordEnd(JobRecord& job, const EndRun& end, bool was_open);
+  void CountEnd(JobRecord& job, StepRecord& step, const EndRun& end);
+  void AddSurplusRuns(const EndRun& done);
   void RecordGangEnd(JobRecord& job, StepRecord& step, const EndRun& end);
   void RecordTaskEnd(JobRecord& job, StepRecord& step, const EndRun& end);
   void FinishStep(JobRecord& job, uint64_t occurrence);
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -92,6 +92,7 @@
   std::ranges::move(later.started, std::back_inserter(started));
   std::ranges::move(later.added_jobs, std::back_inserter(added_jobs));
   std::ranges::move(later.ended_jobs, std::back_inserter(ended_jobs));
+  std::ranges::move(later.surplus_runs, std::back_inserter(surplus_runs));
   is_manifest_changed |= later.is_manifest_changed;
   has_worker_changes |= later.has_worker_changes;
 }
@@ -283,6 +284,11 @@
     return;
   }
   TaskRecord& task = step->tasks[end.task.index];
+  if (end.run < task.run && end.outcome == RunOutcome::kDone) {
+    CountEnd(job, *step, end);
+    AddSurplusRuns(end);
+    return;
+  }
   const bool is_expected = was_open ? task.is_open : task.is_end_presumed;
   if (task.run != end.run || !is_expected) {
     return;
@@ -292,17 +298,35 @@
     --step->open;
   }
   task.is_end_presumed = end.is_presumed;
-  const bool was_done = step->IsDone();
+  CountEnd(job, *step, end);
+}
+
+void JobTable::CountEnd(JobRecord& job, StepRecord& step, const EndRun& end) {
+  const bool was_done = step.IsDone();
   if (job.spec.steps[end.task.step.step].is_gang) {
-    RecordGangEnd(job, *step, end);
+    RecordGangEnd(job, step, end);
   } else {
-    RecordTaskEnd(job, *step, end);
+    RecordTaskEnd(job, step, end);
   }
-  if (job.phase == JobPhase::kActive && !was_done && step->IsDone()) {
+  if (job.phase == JobPhase::kActive && !was_done && step.IsDone()) {
     FinishStep(job, end.task.step.occurrence);
   }
 }
 
+// The end of `done.run` was presumed before it was reported, and the task or
+// its gang was started again in between.
+void JobTable::AddSurplusRuns(const EndRun& done) {
+  const StepRecord& step = *FindStep(done.task.step);
+  for (const WorkerRecord& worker : workers_ | std::views::values) {
+    for (const OpenRun& it : worker.runs) {
+      if (it.task.step == done.task.step && it.run > done.run &&
+          step.tasks[it.task.index].is_done) {
+        changes_.surplus_runs.push_back({it.task, it.run, worker.info.boot});
+      }
+    }
+  }
+}
+
 // The success of one member completes the whole gang. Failures of several
 // members count once per run.
 void JobTable::RecordGangEnd(JobRecord& job,
@@ -332,10 +356,13 @@
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
-  if (end.outcome == RunOutcome::kDone && !is_lasting) {
+  if (task.is_done || is_lasting) {
+    return;
+  }
+  if (end.outcome == RunOutcome::kDone) {
     task.is_done = true;
     ++step.done;
-  } else if (end.outcome == RunOutcome::kFailed && !is_lasting &&
+  } else if (end.outcome == RunOutcome::kFailed &&
              ++task.failures >= MaxAttempts(job)) {
     EndJob(job, JobPhase::kFailed);
   }
--- a/libs/jobs/test/job_table_test.cc
+++ b/libs/jobs/test/job_table_test.cc
@@ -2,6 +2,8 @@
 
 #include "jobs/job_table.h"
 
+#include <utility>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -79,6 +81,34 @@
       << "the other member occupies its worker until its end is listed";
 }
 
+// A task was started again because its worker was presumed lost, and the worker
+// then reports that the first run is done.
+TEST(JobTable, AReportOfAnEarlierRunCompletesTheTaskOnce) {
+  TableFixture fixture(1);
+  fixture.AddWorker(Worker("w"));
+  fixture.AddWorker(Worker("v"));
+  fixture.AddJob("j", {Step(2)});
+  fixture.Start(Task("j", 0, 0), 1, Boot("w"));
+  fixture.Start(Task("j", 0, 1), 1, Boot("v"));
+  Batch loss;
+  loss.removed_workers = {Boot("w")};
+  fixture.table.Apply(loss);
+  ASSERT_TRUE(fixture.Start(Task("j", 0, 0), 2, Boot("v")));
+  const Changes changes = fixture.End(Task("j", 0, 0), 1, Boot("w"), kDone);
+  ASSERT_EQ(changes.surplus_runs.size(), 1U);
+  EXPECT_EQ(changes.surplus_runs[0].run, 2U);
+  EXPECT_EQ(changes.surplus_runs[0].worker, Boot("v"));
+  EXPECT_TRUE(
+      fixture.End(Task("j", 0, 0), 1, Boot("w"), kDone).ended_jobs.empty());
+  fixture.End(Task("j", 0, 0), 2, Boot("v"), kFailed);
+  EXPECT_EQ(fixture.PhaseOf("j"), JobPhase::kActive)
+      << "the failure of a surplus run is no attempt";
+  EXPECT_EQ(std::as_const(fixture.table).FindStep(Task("j").step)->done, 1U);
+  EXPECT_FALSE(fixture.Start(Task("j", 0, 0), 3, Boot("v")));
+  fixture.End(Task("j", 0, 1), 1, Boot("v"), kDone);
+  EXPECT_EQ(fixture.PhaseOf("j"), JobPhase::kCompleted);
+}
+
 // Each member of a gang reports its end, and the first of them completes the
 // occurrence.
 TEST(JobTable, AnOccurrenceOfAGangIsCountedOnce) {
