--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -79,6 +79,32 @@
   }
 }
 
+void Leader::StopSurplusRun(const jobs::StartRun& run) {
+  jobs::WorkerSession* session = FindSession(run.worker);
+  if (session == nullptr) {
+    return;
+  }
+  Decision("surplus-run")
+      .With("task", FormatTaskName(run.task))
+      .With("run", run.run)
+      .With("worker", run.worker.id)
+      .Write();
+  if (auto end = session->Stop(run.task, run.run)) {
+    AddEnd(*std::move(end));
+  }
+  SendPendingCalls(*session);
+}
+
+// Whether the task still has to run. A task that an earlier run has completed
+// may have a later run that is yet to be stopped.
+bool Leader::IsWanted(const jobs::TaskKey& task) const {
+  const jobs::JobRecord* job = context_.table().FindJob(task.step.job);
+  const jobs::TaskRecord* record =
+      job == nullptr ? nullptr : job->FindTask(task);
+  return record != nullptr && job->phase == jobs::JobPhase::kActive &&
+         !record->is_done;
+}
+
 // Sends the pending calls of all sessions, a few per turn of the event loop. A
 // new leader has to call every worker, and its followers must still receive its
 // consensus heartbeats meanwhile.
@@ -164,6 +190,7 @@
                          const jobs::HoldReply& reply) {
   jobs::WorkerSession* session = FindSession(boot);
   if (session == nullptr) {
+    AddLateReports(boot, reply);
     return;
   }
   const bool was_usable = session->IsUsable(context_.Now());
@@ -183,6 +210,19 @@
   Flush();
 }
 
+// The worker was removed while its reply was on its way, and may never be heard
+// again. Its ends aren't acknowledged.
+void Leader::AddLateReports(const jobs::WorkerBoot& boot,
+                            const jobs::HoldReply& reply) {
+  for (const jobs::EndReport& report : reply.ended) {
+    if (IsWanted(report.task)) {
+      AddEnd(
+          {boot, report.task, report.run, report.outcome, report.checkpoint});
+    }
+  }
+  Flush();
+}
+
 void Leader::AddEnd(jobs::EndRun end) {
   Decision("end")
       .With("task", FormatTaskName(end.task))
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -2,171 +2,13 @@
 
 #include "jobcontrol/leader.h"
 
-#include <deque>
-
 #include <gtest/gtest.h>
 
+#include "leader_fixture.h"
+
 namespace sassafras::jobcontrol {
 namespace {
 
-using std::chrono::milliseconds;
-
-// Commits batches only when Commit() is called, and stores all calls to
-// workers.
-class FakeLeaderContext : public LeaderContext, public WorkerLink {
- public:
-  struct SentOrder {
-    jobs::WorkerInfo worker;
-    jobs::OrderCall call;
-    OrderDone done;
-  };
-  struct SentHold {
-    jobs::WorkerInfo worker;
-    jobs::HoldCall call;
-    HoldDone done;
-  };
-
-  FakeLeaderContext() {
-    jobs::Manifest manifest;
-    manifest.version = 1;
-    jobs::Queue queue;
-    queue.id = jobs::QueueId("q");
-    queue.service = wire::ServiceId("batch");
-    queue.max_attempts = 3;
-    manifest.queues = {queue};
-    jobs::Batch batch;
-    batch.manifests = {manifest};
-    table_.Apply(batch);
-  }
-
-  const jobs::JobTable& table() const override { return table_; }
-  void Record(std::shared_ptr<const jobs::Batch> batch,
-              RecordDone done) override {
-    waiting_.emplace_back(std::move(batch), std::move(done));
-  }
-  WorkerLink& workers() override { return *this; }
-  std::vector<wire::EntryId> LiveAdvisers(base::Instant) override { return {}; }
-  void QueryAdvice(const wire::EntryId&,
-                   const jobs::AdviceQuery&,
-                   base::Duration,
-                   AdviceDone) override {}
-  void Defer(std::function<void()> then) override {
-    deferred_.push_back(std::move(then));
-  }
-  base::Instant Now() const override { return now_; }
-  base::WallMs WallNow() const override { return 0; }
-
-  void Order(const jobs::WorkerInfo& worker,
-             const jobs::OrderCall& call,
-             uint64_t,
-             OrderDone done) override {
-    orders.push_back({worker, call, std::move(done)});
-  }
-  void Hold(const jobs::WorkerInfo& worker,
-            const jobs::HoldCall& call,
-            uint64_t,
-            HoldDone done) override {
-    holds.push_back({worker, call, std::move(done)});
-  }
-  void QueryAdvice(const jobs::AdviceQuery&,
-                   base::Duration,
-                   AdviceDone) override {}
-
-  // Commits all pending batches, including those that a commit triggers.
-  void Commit() {
-    while (!waiting_.empty()) {
-      auto [batch, done] = std::move(waiting_.front());
-      waiting_.pop_front();
-      leader->OnApplied(table_.Apply(*batch));
-      done(RecordResult::kRecorded);
-    }
-  }
-  size_t waiting() const { return waiting_.size(); }
-
-  // Runs the functions deferred so far; returns whether there were any.
-  bool RunDeferred() {
-    const auto deferred = std::exchange(deferred_, {});
-    std::ranges::for_each(deferred, [](auto& then) { then(); });
-    return !deferred.empty();
-  }
-
-  void Advance(milliseconds time) {
-    now_ += time;
-    leader->Tick();
-  }
-
-  // Answers each open hold with a reply that contains these lists of runs.
-  void AnswerHolds(const jobs::HoldReply& lists) {
-    for (SentHold& hold : std::exchange(holds, {})) {
-      jobs::HoldReply reply = lists;
-      reply.is_answered = true;
-      reply.clock_ms = ClockMs();
-      hold.done(reply);
-    }
-  }
-  int64_t ClockMs() const {
-    return std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())
-        .count();
-  }
-
-  std::vector<SentOrder> orders;
-  std::vector<SentHold> holds;
-  std::shared_ptr<Leader> leader;
-
- private:
-  jobs::JobTable table_;
-  std::deque<std::pair<std::shared_ptr<const jobs::Batch>, RecordDone>>
-      waiting_;
-  std::vector<std::function<void()>> deferred_;
-  base::Instant now_ = base::Instant(milliseconds(1'000'000));
-};
-
-class LeaderTest : public testing::Test {
- protected:
-  LeaderTest() : metrics_(*registry_) { Elect(1); }
-
-  void Elect(uint64_t term) {
-    context_.holds.clear();
-    context_.orders.clear();
-    context_.leader = Leader::Create(context_, {term, {}}, metrics_);
-  }
-
-  jobs::WorkerInfo Worker(const std::string& id) const {
-    jobs::WorkerInfo info;
-    info.boot = {wire::WorkerId(id), 1};
-    info.address = "10.0.0." + id;  // unique per worker
-    info.service = wire::ServiceId("batch");
-    info.capacity = {4000, 1000, 0};
-    return info;
-  }
-
-  void AddWorker(const std::string& id) {
-    context_.leader->OnHeartbeat(Worker(id), context_.ClockMs(),
-                                 [](RecordResult) {});
-    context_.Commit();
-    context_.leader->OnHeartbeat(Worker(id), context_.ClockMs(),
-                                 [](RecordResult) {});
-  }
-
-  void Submit(const std::string& id, uint32_t count = 1) {
-    jobs::StepSpec step;
-    step.count = count;
-    step.need.cpu_milli = 1000;
-    context_.leader->Submit(
-        {wire::JobId(id), jobs::QueueId("q"), {"text", {step}}},
-        [this](RecordResult result) { submitted_ = result; });
-  }
-
-  const jobs::StartOrder& FirstStart() const {
-    return std::get<jobs::StartOrder>(context_.orders.at(0).call.order);
-  }
-
-  std::unique_ptr<telemetry::Metrics> registry_ = telemetry::Metrics::Create();
-  LeaderMetrics metrics_;
-  FakeLeaderContext context_;
-  RecordResult submitted_ = RecordResult::kNotRecorded;
-};
-
 TEST_F(LeaderTest, ASubmissionIsAcceptedOnlyAfterItIsRecorded) {
   Submit("j");
   EXPECT_EQ(submitted_, RecordResult::kNotRecorded);
@@ -304,6 +146,50 @@
       context_.table().FindJob(wire::JobId("j"))->FindTask(task)->is_open);
 }
 
+// The worker "w" was taken for gone, and its task was started on "v". Then "w"
+// reported it done, and the leader changed before the stop was carried out.
+TEST_F(LeaderTest, ANewLeaderStopsASurplusRun) {
+  const auto answer = [&](const std::string& id, jobs::HoldReply reply) {
+    for (auto& hold : std::exchange(context_.holds, {})) {
+      reply.is_answered = hold.worker.boot.id == wire::WorkerId(id);
+      reply.clock_ms = context_.ClockMs();
+      hold.done(reply);
+    }
+  };
+  AddWorker("w");
+  context_.AnswerHolds({});
+  jobs::StepSpec first;
+  first.need.cpu_milli = 1000;
+  jobs::StepSpec second = first;
+  second.after = {0};
+  context_.leader->Submit(
+      {wire::JobId("j"), jobs::QueueId("q"), {"text", {first, second}}},
+      [](RecordResult) {});
+  context_.Commit();
+  const jobs::TaskKey task = FirstStart().task;
+  context_.leader->OnLeave(Worker("w").boot, [](RecordResult) {});
+  context_.Commit();
+  AddWorker("v");
+  answer("v", {});
+  context_.Commit();
+  ASSERT_EQ(context_.orders.back().worker.boot.id, wire::WorkerId("v"));
+  AddWorker("w");
+  jobs::HoldReply report;
+  report.ended = {{1, task, 1, jobs::RunOutcome::kDone, ""}};
+  answer("w", report);
+  Elect(2);
+  context_.Commit();
+  Elect(3);
+  jobs::HoldReply running;
+  running.running = {{task, 2, "", 10, 0}};
+  answer("v", running);
+  ASSERT_EQ(context_.orders.size(), 1U);
+  const auto* stop =
+      std::get_if<jobs::StopOrder>(&context_.orders[0].call.order);
+  ASSERT_NE(stop, nullptr);
+  EXPECT_EQ(stop->run, 2U);
+}
+
 // After all control hosts lose power, the next leader has to call every worker
 // while its followers wait for its heartbeats. Sending all calls at once would
 // delay the heartbeats.
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -92,6 +92,7 @@
   std::ranges::move(later.started, std::back_inserter(started));
   std::ranges::move(later.added_jobs, std::back_inserter(added_jobs));
   std::ranges::move(later.ended_jobs, std::back_inserter(ended_jobs));
+  std::ranges::move(later.surplus_runs, std::back_inserter(surplus_runs));
   is_manifest_changed |= later.is_manifest_changed;
   has_worker_changes |= later.has_worker_changes;
 }
@@ -244,51 +245,88 @@
 void JobTable::EndAllRuns(WorkerRecord& worker) {
   const std::vector<OpenRun> runs = worker.runs;
   for (const OpenRun& run : runs) {
-    End({worker.info.boot, run.task, run.run, RunOutcome::kLeaseExpired, ""});
+    End({worker.info.boot, run.task, run.run, RunOutcome::kLeaseExpired, "",
+         true});
   }
 }
 
+// A report may follow the presumed end of its run, when the worker has been
+// removed.
 void JobTable::End(const EndRun& end) {
+  const bool was_open = CloseRun(end);
+  const auto job = jobs_.find(end.task.step.job);
+  if (job != jobs_.end() && (was_open || !end.is_presumed)) {
+    RecordEnd(job->second, end, was_open);
+  }
+}
+
+// Removes the run from its worker. Returns whether it was open there.
+bool JobTable::CloseRun(const EndRun& end) {
   const auto it = workers_.find(end.worker.id);
   if (it == workers_.end() || it->second.info.boot != end.worker) {
-    return;
+    return false;
   }
   std::vector<OpenRun>& runs = it->second.runs;
   const auto ended = std::ranges::find_if(runs, [&](const OpenRun& open) {
     return open.run == end.run && open.task == end.task;
   });
   if (ended == runs.end()) {
-    return;
+    return false;
   }
   it->second.load.Remove(*ended);
   runs.erase(ended);
-  const auto job = jobs_.find(end.task.step.job);
-  if (job != jobs_.end()) {
-    RecordEnd(job->second, end);
-  }
+  return true;
 }
 
-void JobTable::RecordEnd(JobRecord& job, const EndRun& end) {
+void JobTable::RecordEnd(JobRecord& job, const EndRun& end, bool was_open) {
   StepRecord* step = FindStep(end.task.step);
   if (step == nullptr || end.task.index >= step->tasks.size()) {
     return;
   }
   TaskRecord& task = step->tasks[end.task.index];
-  if (task.run != end.run || !task.is_open) {
+  if (end.run < task.run && end.outcome == RunOutcome::kDone) {
+    CountEnd(job, *step, end);
+    AddSurplusRuns(end);
     return;
   }
-  task.is_open = false;
-  --step->open;
+  const bool is_expected = was_open ? task.is_open : task.is_end_presumed;
+  if (task.run != end.run || !is_expected) {
+    return;
+  }
+  if (was_open) {
+    task.is_open = false;
+    --step->open;
+  }
+  task.is_end_presumed = end.is_presumed;
+  CountEnd(job, *step, end);
+}
+
+void JobTable::CountEnd(JobRecord& job, StepRecord& step, const EndRun& end) {
+  const bool was_done = step.IsDone();
   if (job.spec.steps[end.task.step.step].is_gang) {
-    RecordGangEnd(job, *step, end);
+    RecordGangEnd(job, step, end);
   } else {
-    RecordTaskEnd(job, *step, end);
+    RecordTaskEnd(job, step, end);
   }
-  if (job.phase == JobPhase::kActive && step->IsDone()) {
+  if (job.phase == JobPhase::kActive && !was_done && step.IsDone()) {
     FinishStep(job, end.task.step.occurrence);
   }
 }
 
+// The end of `done.run` was presumed before it was reported, and the task or
+// its gang was started again in between.
+void JobTable::AddSurplusRuns(const EndRun& done) {
+  const StepRecord& step = *FindStep(done.task.step);
+  for (const WorkerRecord& worker : workers_ | std::views::values) {
+    for (const OpenRun& it : worker.runs) {
+      if (it.task.step == done.task.step && it.run > done.run &&
+          step.tasks[it.task.index].is_done) {
+        changes_.surplus_runs.push_back({it.task, it.run, worker.info.boot});
+      }
+    }
+  }
+}
+
 // The success of one member completes the whole gang. Failures of several
 // members count once per run.
 void JobTable::RecordGangEnd(JobRecord& job,
@@ -318,10 +356,13 @@
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
   }
-  if (end.outcome == RunOutcome::kDone && !is_lasting) {
+  if (task.is_done || is_lasting) {
+    return;
+  }
+  if (end.outcome == RunOutcome::kDone) {
     task.is_done = true;
     ++step.done;
-  } else if (end.outcome == RunOutcome::kFailed && !is_lasting &&
+  } else if (end.outcome == RunOutcome::kFailed &&
              ++task.failures >= MaxAttempts(job)) {
     EndJob(job, JobPhase::kFailed);
   }
@@ -407,6 +448,7 @@
   }
   task.run = start.run;
   task.is_open = true;
+  task.is_end_presumed = false;
   ++step->open;
   job->second.has_started = true;
   const StepSpec& step_spec = spec.steps[position];
