Consensus: a learner votes only if it has replied just now

What callers would see: as before, nobody leads after a loss that must be borne.

Change: a reply within two heartbeats. A learner that replies is promoted on that reply, as before.

--- a/libs/consensus/src/membership.cc
+++ b/libs/consensus/src/membership.cc
@@ -117,11 +117,12 @@
 
 // A learner may vote once it is at most promotion_lag_records behind. It then
 // lacks only records in flight and can replace another voter that is lost right
-// after the promotion.
+// after the promotion. It must have replied just now: one that is lost would
+// count towards the quorum.
 bool Replica::Core::IsReadyToVote(const Member& learner) const {
   const auto it = peers_.find(learner.id);
   return it != peers_.end() && it->second.mode == PeerMode::kReplicate &&
-         now_ - it->second.contact_at < options_.election_timeout &&
+         now_ - it->second.contact_at < 2 * options_.heartbeat &&
          Plus(it->second.match_index, options_.promotion_lag_records) >=
              log_.Last();
 }
