Job queues: the members of the group have a module of their own

ControlNode (772 lines) held what a join, a stop and a lost voter lead to beside its other duties. GroupKeeper carries these decisions out, on the replica that leads. No decision changes: jobcontrol_test (58) and replaced_host_test (twice) pass.

--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -6,19 +6,18 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
-#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "cluster/replica_driver.h"
+#include "group_keeper.h"
 #include "heard_workers.h"
 #include "jobcontrol/advice_host.h"
 #include "jobcontrol/leader.h"
 #include "jobcontrol/membership.h"
 #include "jobcontrol/messages.h"
-#include "membership_log.h"
 #include "relay_host.h"
 #include "relayed_link.h"
 #include "telemetry/decision.h"
@@ -120,8 +119,11 @@
         metrics_.GetHistogram("sassafras_journal_write_seconds",
                               "Write and sync of one batch of the journal."),
         driver_why);
-    return driver_ ||
-           why.Set(kernel::KernelError::kServiceFailed, driver_why.message);
+    if (!driver_) {
+      return why.Set(kernel::KernelError::kServiceFailed, driver_why.message);
+    }
+    group_ = GroupKeeper::Create(driver_, group_policy_);
+    return true;
   }
 
   void Begin() {
@@ -268,7 +270,7 @@
         .With("leader", change.leader.name)
         .Write();
     leader_.reset();
-    stopping_replicas_.clear();
+    group_->OnRole();
     is_leading_ = change.role == consensus::Role::kLeader;
     worker_link_->EndTerm();
     if (is_leading_) {
@@ -490,11 +492,7 @@
     if (hello.is_adviser) {
       adviser_last_seen_[hello.name] = Now();
     }
-    if (hello.is_stopping) {
-      stopping_replicas_.insert(hello.replica);
-    } else {
-      stopping_replicas_.erase(hello.replica);
-    }
+    group_->OnStopping(hello.replica, hello.is_stopping);
     HelloReply answer;
     answer.members = Members();
     if (hello.replica.empty() &&
@@ -513,24 +511,12 @@
   }
 
   void Join(const nlohmann::json& body, const cluster::ReplyDone& done) {
-    const auto candidate = body.get<consensus::Member>();
-    const JoinAction action = DecideJoin(replica().GetMembership(), candidate);
-    Decision("join")
-        .With("host", candidate.name)
-        .With("replica", candidate.id)
-        .With("step", action.index())
-        .Write();
-    const auto ignore = [](const auto&) {};
-    if (const auto* add = std::get_if<AddMember>(&action)) {
-      driver_->AddLearner(add->member, ignore);
-    } else if (const auto* remove = std::get_if<RemoveMember>(&action)) {
-      driver_->Remove(remove->id, ignore);
-    }
+    group_->Join(body.get<consensus::Member>());
     done(MakeReply(wire::ReplyStatus::kOk));
   }
 
   // Runs periodic work: creates the leader once this replica has applied all
-  // earlier commits, and replaces lost voters while it leads.
+  // earlier commits and keeps the group of control hosts.
   void Tick() {
     if (is_leading_ && !leader_ && driver_->IsReadyToLead()) {
       BeginTerm();
@@ -540,9 +526,8 @@
     }
     if (leader_) {
       leader_->Tick();
-      ReplaceLostVoter();
     }
-    membership_log_.Report(replica(), Now());
+    group_->Tick(Now());
     timer_.expires_after(kTickPeriod);
     timer_.async_wait([self = shared_from_this()](auto ec) {
       if (!ec) {
@@ -579,25 +564,6 @@
     leader_ = Leader::Create(*this, options, leader_metrics_);
   }
 
-  void ReplaceLostVoter() {
-    GroupView group = GroupView::Of(replica());
-    group.stopping = stopping_replicas_;
-    const LossAction action = DecideLoss(group, group_policy_, Now());
-    if (std::holds_alternative<PromoteSpare>(action)) {
-      driver_->PromoteLearner();
-      return;
-    }
-    const auto* remove = std::get_if<RemoveMember>(&action);
-    if (remove == nullptr || is_removing_voter_) {
-      return;
-    }
-    Decision("remove-lost-voter").With("replica", remove->id).Write();
-    is_removing_voter_ = true;
-    driver_->Remove(remove->id, [self = shared_from_this()](const auto&) {
-      self->is_removing_voter_ = false;
-    });
-  }
-
   // Reports this host to the leader. OnHelloReply() asks to join if the reply
   // shows that this host isn't a member.
   void SendHello() {
@@ -657,6 +623,7 @@
   boost::asio::steady_timer heard_timer_;
   cluster::Client* client_ = nullptr;
   std::shared_ptr<cluster::ReplicaDriver> driver_;  // set by Open()
+  std::shared_ptr<GroupKeeper> group_;              // set by Open()
   jobs::JobTable table_;
   jobs::Changes changes_;  // not yet passed to the leader
   bool has_changes_ = false;
@@ -667,11 +634,7 @@
   std::string proposed_bytes_;
   bool is_leading_ = false;
   std::shared_ptr<Leader> leader_;  // null unless this replica leads
-  bool is_removing_voter_ = false;
-  bool is_stopping_ = false;  // this process was told to stop
-  // Replicas that said so to this leader. One that runs again says it doesn't.
-  std::set<consensus::ReplicaId> stopping_replicas_;
-  MembershipLog membership_log_;
+  bool is_stopping_ = false;        // this process was told to stop
   // Times of the last hello, by sender.
   std::map<wire::EntryId, base::Instant> adviser_last_seen_;
 };
