Job queues: a learner that is gone leaves the group

Cause: only voters were looked at. A host that had joined and was gone for good stayed among the members: heartbeats went to it, and each search for the leader tried its name.

Change: a learner that hasn't replied for ten seconds is removed; it joins again if it returns. The log line remove-lost-voter is remove-lost-member now.

--- a/libs/jobcontrol/include/jobcontrol/membership.h
+++ b/libs/jobcontrol/include/jobcontrol/membership.h
@@ -35,6 +35,8 @@
   // leader starts to count anew, so a limit far above an election timeout would
   // not be reached while leaders change.
   base::Duration max_silence = std::chrono::milliseconds(600);
+  // The same for a learner. It costs the group no loss that it could bear.
+  base::Duration max_learner_silence = std::chrono::seconds(10);
 
   // Returns the number of voters that bears these losses: a majority remains,
   // and each acknowledged record is on a disk that remains.
@@ -68,7 +70,7 @@
   static GroupView Of(const consensus::Replica& leader);
 };
 
-// What the leader does about a voter that is lost.
+// What the leader does about a member that is lost.
 struct KeepMembers {};   // nothing
 struct PromoteSpare {};  // gives the vote to a learner
 using LossAction = std::variant<KeepMembers, PromoteSpare, RemoveMember>;
@@ -77,8 +79,8 @@
 // counts towards the quorum, the group bears one loss less. A learner votes
 // first, and the lost voter is removed after that; in the other order, the
 // group would have a voter too few in between. Without a learner nothing
-// changes, since the voter may come back. A removed replica joins again if it
-// returns.
+// changes, since the voter may come back. A learner that is silent for long is
+// removed. A removed replica joins again if it returns.
 LossAction DecideLoss(const GroupView& group,
                       const GroupPolicy& policy,
                       base::Instant now);
--- a/libs/jobcontrol/src/group_keeper.cc
+++ b/libs/jobcontrol/src/group_keeper.cc
@@ -56,27 +56,27 @@
 
 void GroupKeeper::Tick(base::Instant now) {
   if (driver_->replica().HasCommittedInTerm()) {
-    ReplaceLostVoter(now);
+    ReplaceLostMember(now);
   }
   log_.Report(driver_->replica(), now);
 }
 
-void GroupKeeper::ReplaceLostVoter(base::Instant now) {
+void GroupKeeper::ReplaceLostMember(base::Instant now) {
   GroupView group = GroupView::Of(driver_->replica());
   group.stopping = stopping_;
   const LossAction action = DecideLoss(group, policy_, now);
   if (std::holds_alternative<PromoteSpare>(action)) {
     driver_->PromoteLearner();
   } else if (const auto* remove = std::get_if<RemoveMember>(&action)) {
-    RemoveVoter(remove->id);
+    RemoveLostMember(remove->id);
   }
 }
 
-void GroupKeeper::RemoveVoter(const consensus::ReplicaId& id) {
+void GroupKeeper::RemoveLostMember(const consensus::ReplicaId& id) {
   if (is_removing_) {
     return;
   }
-  Decision("remove-lost-voter").With("replica", id).Write();
+  Decision("remove-lost-member").With("replica", id).Write();
   is_removing_ = true;
   driver_->Remove(id, [weak = weak_from_this()](const auto&) {
     if (const auto self = weak.lock()) {
--- a/libs/jobcontrol/src/group_keeper.h
+++ b/libs/jobcontrol/src/group_keeper.h
@@ -28,22 +28,22 @@
   void OnStopping(const consensus::ReplicaId& replica, bool is_stopping);
   // Must be called after each change of this replica's role.
   void OnRole();
-  // Replaces a lost voter if this replica leads, and writes what changed in the
-  // group. Must be called every few tens of milliseconds.
+  // Replaces a lost member if this replica leads, and writes what changed in
+  // the group. Must be called every few tens of milliseconds.
   void Tick(base::Instant now);
 
  private:
   GroupKeeper(std::shared_ptr<cluster::ReplicaDriver> driver,
               const GroupPolicy& policy);
 
-  void ReplaceLostVoter(base::Instant now);
-  void RemoveVoter(const consensus::ReplicaId& id);
+  void ReplaceLostMember(base::Instant now);
+  void RemoveLostMember(const consensus::ReplicaId& id);
 
   const std::shared_ptr<cluster::ReplicaDriver> driver_;
   const GroupPolicy policy_;
   // Replicas that said so to this leader. One that runs again says it doesn't.
   std::set<consensus::ReplicaId> stopping_;
-  bool is_removing_ = false;  // the removal of a voter is being recorded
+  bool is_removing_ = false;  // the removal of a member is being recorded
   MembershipLog log_;
 };
 
--- a/libs/jobcontrol/src/membership.cc
+++ b/libs/jobcontrol/src/membership.cc
@@ -11,6 +11,28 @@
 // A smaller group doesn't bear the loss of any host.
 constexpr size_t kSmallestGroup = 3;
 
+bool IsSilent(const GroupView& group,
+              const consensus::Member& member,
+              base::Duration limit,
+              base::Instant now) {
+  const auto it = group.contacts.find(member.id);
+  const bool has_replied =
+      it != group.contacts.end() && now - it->second <= limit;
+  return member.id != group.self && !has_replied;
+}
+
+LossAction DecideLossOfLearner(const GroupView& group,
+                               const GroupPolicy& policy,
+                               base::Instant now) {
+  const auto& learners = group.members.learners;
+  const auto lost =
+      std::ranges::find_if(learners, [&](const consensus::Member& member) {
+        return IsSilent(group, member, policy.max_learner_silence, now);
+      });
+  return lost == learners.end() ? LossAction(KeepMembers{})
+                                : LossAction(RemoveMember{lost->id});
+}
+
 }  // namespace
 
 size_t GroupPolicy::Voters() const {
@@ -53,15 +75,12 @@
                       base::Instant now) {
   const auto& voters = group.members.voters;
   const auto is_lost = [&](const consensus::Member& member) {
-    const auto it = group.contacts.find(member.id);
-    const bool has_replied =
-        member.id == group.self ||
-        (it != group.contacts.end() && now - it->second <= policy.max_silence);
-    return !has_replied || group.stopping.contains(member.id);
+    return IsSilent(group, member, policy.max_silence, now) ||
+           group.stopping.contains(member.id);
   };
   const auto lost = std::ranges::find_if(voters, is_lost);
   if (lost == voters.end()) {
-    return KeepMembers{};
+    return DecideLossOfLearner(group, policy, now);
   }
   if (voters.size() <= policy.Voters()) {
     return group.ready_learners > 0 ? LossAction(PromoteSpare{})
--- a/libs/jobcontrol/test/group_test.cc
+++ b/libs/jobcontrol/test/group_test.cc
@@ -48,6 +48,7 @@
   Group(size_t tolerated_losses, uint64_t seed) : cluster_(0, seed) {
     policy_.tolerated_losses = tolerated_losses;
     policy_.max_silence = cluster_.options.election_timeout;
+    policy_.max_learner_silence = policy_.max_learner_silence / 6;
     cluster_.options.max_voters = policy_.Voters();
     while (places_.size() < policy_.Voters()) {
       places_.push_back({cluster_.AddHost(), 0});
--- a/libs/jobcontrol/test/membership_test.cc
+++ b/libs/jobcontrol/test/membership_test.cc
@@ -125,6 +125,20 @@
       << "no majority of the remaining voters is in contact";
 }
 
+// A learner that is gone would be called and searched for the leader for ever.
+TEST(DecideLoss, ALearnerThatIsSilentForLongIsRemoved) {
+  const GroupPolicy policy;
+  GroupView group = View({"a", "b", "c"}, {}, 0, policy);
+  group.members.learners = {Member("d", "host-d")};
+  const auto decide = [&](base::Duration silence) {
+    group.contacts[consensus::ReplicaId("d")] = At(20) - silence;
+    return DecideLoss(group, policy, At(20));
+  };
+  EXPECT_EQ(RemovedBy(decide(policy.max_learner_silence + base::Duration(1))),
+            consensus::ReplicaId("d"));
+  EXPECT_TRUE(Keeps(decide(policy.max_learner_silence)));
+}
+
 TEST(DecideLoss, AGroupForTwoLossesKeepsFiveVoters) {
   GroupPolicy policy;
   policy.tolerated_losses = 2;
