Job queues: the log says why steps wait and how old lost runs were

Runs that end with their worker had no line, and nothing told why a step that can run isn't placed. No decision is changed.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,7 @@
   void SyncSessions();
   void Flush();
   void PlanStarts();
+  void LogWaitingSteps(std::span<const jobs::WaitingReason> waiting);
   std::vector<const jobs::WorkerRecord*> UsableWorkers() const;
   void AddDueOccurrences();
   void RemoveLostWorkers();
@@ -144,6 +146,7 @@
   bool is_recording_ = false;                // at most one batch is in flight
   bool needs_plan_ = true;   // the state changed since the last plan
   base::Instant next_plan_;  // not earlier than this
+  base::Instant next_waiting_log_;
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
   // Whether a pass over all sessions is in progress, and the last worker that
   // it has called; empty before the first.
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -13,6 +13,7 @@
 namespace sassafras::jobcontrol {
 namespace {
 
+using jobs::FormatTaskName;
 using telemetry::Decision;
 
 // Added to the placement service's own expected time to answer a query.
@@ -20,6 +21,7 @@
 // After a plan, this multiple of the time that it took belongs to other work,
 // so that a leader with a long backlog still hears its workers.
 constexpr int kPlanPause = 2;
+constexpr auto kWaitingLogPause = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -252,6 +254,24 @@
       scheduler_.MakePlan(context_.table(), advice_, sources, now);
   std::ranges::move(plan.starts, std::back_inserter(batch_.starts));
   RequestAdvice(plan.advice_requests);
+  LogWaitingSteps(plan.waiting);
+}
+
+// Says now and then why steps that could run wait.
+void Leader::LogWaitingSteps(std::span<const jobs::WaitingReason> waiting) {
+  const base::Instant now = context_.Now();
+  if (now < next_waiting_log_) {
+    return;
+  }
+  next_waiting_log_ = now + kWaitingLogPause;
+  for (const jobs::WaitingReason& it : waiting) {
+    Decision("waiting")
+        .With("job", it.step.job)
+        .With("occurrence", it.step.occurrence)
+        .With("step", it.step.step)
+        .With("reason", nlohmann::json(it.reason).get<std::string>())
+        .Write();
+  }
 }
 
 // Sessions and records are both sorted by worker id, which allows a linear
@@ -305,6 +325,12 @@
     metrics_.workers_lost.Add();
     const jobs::WorkerRecord& record = context_.table().workers().at(id);
     for (const jobs::OpenRun& run : record.runs) {
+      Decision("run-lost")
+          .With("task", FormatTaskName(run.task))
+          .With("run", run.run)
+          .With("worker", id)
+          .With("age_us", session.AgeAtLastSign(run.task, run.run))
+          .Write();
       batch_.ends.push_back({session.boot(), run.task, run.run,
                              jobs::RunOutcome::kLeaseExpired,
                              session.CheckpointOf(run.task, run.run), true});
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -13,18 +13,13 @@
 namespace sassafras::jobcontrol {
 namespace {
 
+using jobs::FormatTaskName;
 using telemetry::Decision;
 
 // Limits the calls between two turns of the event loop, so that a pass over
 // many workers doesn't delay consensus heartbeats.
 constexpr size_t kMaxCallsPerTurn = 16;
 
-std::string FormatTaskName(const jobs::TaskKey& task) {
-  return task.step.job.str() + "." + std::to_string(task.step.occurrence) +
-         "." + std::to_string(task.step.step) + "." +
-         std::to_string(task.index);
-}
-
 }  // namespace
 
 void Leader::Dispatch(const jobs::StartRun& start) {
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -24,8 +24,30 @@
 
 namespace sassafras::jobs {
 
+// Why a step that could run was not placed, or not placed as a whole.
+enum class WaitReason {
+  kNoRoom,          // permitted workers have no room for it
+  kNoWorker,        // no worker of the pool could run it
+  kQueryOpen,       // advice has been requested
+  kQueryRequested,  // this plan requests advice
+  kNoAdviceHost,    // no host can send a query now
+  kNoQuery,         // no worker is worth a query now
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(WaitReason,
+                             {{WaitReason::kNoRoom, "no-room"},
+                              {WaitReason::kNoWorker, "no-worker"},
+                              {WaitReason::kQueryOpen, "query-open"},
+                              {WaitReason::kQueryRequested, "query-requested"},
+                              {WaitReason::kNoAdviceHost, "no-advice-host"},
+                              {WaitReason::kNoQuery, "no-query"}})
+struct WaitingReason {
+  StepKey step;
+  WaitReason reason = WaitReason::kNoRoom;
+};
+
 struct Plan {
   std::vector<StartRun> starts;
+  std::vector<WaitingReason> waiting;
   std::vector<AdviceRequest> advice_requests;  // most urgent first
   // Workers whose capacity is kept for steps that couldn't be placed.
   std::set<WorkerBoot> reserved_workers;
--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -128,6 +128,9 @@
 };
 WIRE_DEFINE_ARRAY(TaskKey, step, index)
 
+// Returns the name of the task in log lines: job.occurrence.step.index.
+std::string FormatTaskName(const TaskKey& task);
+
 // Identifies one process of a worker. The start time distinguishes it from
 // earlier processes with the same worker id.
 struct WorkerBoot {
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -162,6 +162,13 @@
   bool HasExited() const { return has_exited_; }
   // Runs listed in the last hold reply.
   const std::vector<RunReport>& running() const { return running_; }
+  // When the worker was last known to live: when it stopped accepting
+  // connections, or else its last reply or heartbeat.
+  base::Instant LastSignOfLife() const;
+  // How long the run had been on the worker at its last sign of life; 0 if its
+  // start was sent later or not at all. Runs of earlier leaders count from the
+  // beginning of the session.
+  base::Duration AgeAtLastSign(const TaskKey& task, uint64_t run) const;
   // Returns the newest checkpoint in the last hold reply, or an empty string if
   // there is none.
   std::string CheckpointOf(const TaskKey& task, uint64_t run) const;
@@ -182,7 +189,8 @@
     bool may_start_late = false;
     bool is_in_flight = false;
     base::Instant next_order_at;
-    base::Instant stopped_at;  // when the run entered kStopped
+    std::optional<base::Instant> sent_at;  // when the start was first sent
+    base::Instant stopped_at;              // when the run entered kStopped
   };
   using RunKey = std::pair<TaskKey, uint64_t>;
   struct InFlight {
@@ -216,6 +224,7 @@
 
   bool has_replied_ = false;  // a hold of this term got a reply
   base::Instant last_reply_;
+  base::Instant last_heard_;           // last reply or heartbeat
   bool has_last_hold_failed_ = false;  // the last hold got no valid reply
   // When the first refused hold since the last sign of life was refused;
   // nullopt if none was refused.
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -260,9 +260,8 @@
   if (plan_.starts.size() - before >= wanted) {
     return;
   }
-  if (CanRequestAdvice(step)) {
-    RequestAdvice(step);
-  }
+  const WaitReason reason = RequestAdviceIfNeeded(step);
+  plan_.waiting.push_back({step.key, reason});
   // Capacity must not go to other work while tickets are being renewed.
   Pool permitted = PermittedWorkers(step);
   if (!permitted.empty() && IsHardToPlace(step, permitted)) {
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -157,6 +157,8 @@
                           const Pool& eligible) const;
   void Reserve(const WaitingStep& step, Pool eligible);
 
+  // Returns why the step has to wait.
+  WaitReason RequestAdviceIfNeeded(const WaitingStep& step);
   bool CanRequestAdvice(const WaitingStep& step) const;
   void RequestAdvice(const WaitingStep& step);
   // Whether the gang has room for so many of its tasks on permitted workers
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -41,6 +41,23 @@
 
 }  // namespace
 
+WaitReason Planner::RequestAdviceIfNeeded(const WaitingStep& step) {
+  if (!step.queue->advice.is_required) {
+    return PermittedWorkers(step).empty() ? WaitReason::kNoWorker
+                                          : WaitReason::kNoRoom;
+  }
+  if (advice_.HasOpenQuery(step.key)) {
+    return WaitReason::kQueryOpen;
+  }
+  if (!CanRequestAdvice(step)) {
+    return WaitReason::kNoAdviceHost;
+  }
+  const size_t before = plan_.advice_requests.size();
+  RequestAdvice(step);
+  return plan_.advice_requests.size() > before ? WaitReason::kQueryRequested
+                                               : WaitReason::kNoQuery;
+}
+
 // Requests that no host could send are skipped, because preparing one costs as
 // much as preparing one that is sent.
 bool Planner::CanRequestAdvice(const WaitingStep& step) const {
--- a/libs/jobs/src/types.cc
+++ b/libs/jobs/src/types.cc
@@ -49,6 +49,12 @@
   return charge;
 }
 
+std::string FormatTaskName(const TaskKey& task) {
+  return task.step.job.str() + "." + std::to_string(task.step.occurrence) +
+         "." + std::to_string(task.step.step) + "." +
+         std::to_string(task.index);
+}
+
 std::string FaultOf(const JobSpec& spec) {
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
     return "a job must have between 1 and " + std::to_string(kMaxSteps) +
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -38,10 +38,13 @@
       options_(options),
       lease_(now, options.max_lease),
       last_reply_(now),
+      last_heard_(now),
       recorded_cursor_(record.end_cursor),
       reported_cursor_(record.end_cursor) {
   for (const OpenRun& run : record.runs) {
-    runs_.emplace(RunKey(run.task, run.run), RunState{});
+    RunState state;
+    state.sent_at = now;
+    runs_.emplace(RunKey(run.task, run.run), std::move(state));
   }
 }
 
@@ -56,6 +59,7 @@
 // clock lag, which delays the end of a lease here and never there.
 void WorkerSession::OnHeard(int64_t clock_ms, base::Instant now) {
   refused_since_.reset();
+  last_heard_ = now;
   lease_.OnClock(now, clock_ms);
 }
 
@@ -112,6 +116,7 @@
     }
     if (needs_order && !state.is_in_flight && now >= state.next_order_at) {
       state.is_in_flight = true;
+      state.sent_at = state.sent_at.value_or(now);
       add_call(NextOrder(key, state),
                {key, state.phase == Phase::kStopping, false});
     }
@@ -133,6 +138,7 @@
                                                   const OrderReply& reply,
                                                   base::Instant now) {
   if (reply.clock_ms) {
+    last_heard_ = now;
     lease_.OnClock(now, *reply.clock_ms);
   }
   const auto node = in_flight_.extract(id);
@@ -248,6 +254,7 @@
   lease_.OnClock(now, reply.clock_ms);
   has_replied_ = true;
   last_reply_ = now;
+  last_heard_ = now;
   running_ = reply.running;
   std::set<RunKey> ended;
   for (const EndReport& report : reply.ended) {
@@ -340,6 +347,19 @@
   return has_exited_ || (IsSilent(now) && lease_.IsExpired(now));
 }
 
+base::Instant WorkerSession::LastSignOfLife() const {
+  return refused_since_.value_or(last_heard_);
+}
+
+base::Duration WorkerSession::AgeAtLastSign(const TaskKey& task,
+                                            uint64_t run) const {
+  const auto it = runs_.find({task, run});
+  if (it == runs_.end() || !it->second.sent_at) {
+    return {};
+  }
+  return std::max(base::Duration{}, LastSignOfLife() - *it->second.sent_at);
+}
+
 std::string WorkerSession::CheckpointOf(const TaskKey& task,
                                         uint64_t run) const {
   const auto it = std::ranges::find_if(running_, [&](auto& report) {
