Job queues: a task that crashes its workers is given up (BUDGET)

Cause: the loss of a worker is no failure of its tasks, rightly, but it was no other knowledge about them either. Class of fault: a retry whose own effect isn't counted, because the failure shows at somebody else.

Change: a crash is recorded with each task whose run it ended (replicated, at most five a task), with what it says about the run: only runs younger than half a second at the worker's last sign of life can be the cause; if they all belong to one job, it is the sole suspect. A suspect is started in a trial: on a worker without other young runs, which gets no other job for half a second. Two sole crashes decide: the job is shown as failed, its other tasks are stopped, and one line names the crashes. A run that ends by itself or lives on clears the task. Tasks that crash workers later than half a second are suspected after the third crash, with a window of five seconds; five crashes end a job in any case, so there are two starts after the third at most. Workers that come back under their id or address before they were missed are declared lost with the same marks; workers that were leaving, and silent ones without proof that they ended, decide nothing.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -103,6 +104,15 @@
   std::vector<const jobs::WorkerRecord*> UsableWorkers() const;
   void AddDueOccurrences();
   void RemoveLostWorkers();
+  // Proposes that the worker's process has ended, and so all its runs.
+  void DeclareLost(const jobs::WorkerSession& session, bool has_exited);
+  void DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor);
+  std::vector<jobs::CrashRole> CrashRolesOf(const jobs::WorkerRecord& record,
+                                            const jobs::WorkerSession& session,
+                                            bool has_exited) const;
+  void WatchSuspect(const jobs::StartRun& start);
+  void ProveSuspects();
+  void LogCrashCause(const jobs::TaskKey& task) const;
   void RequestAdvice(const std::vector<jobs::AdviceRequest>& requests);
   void OnAdvice(const jobs::AssignedQuery& assigned,
                 const std::optional<std::vector<jobs::Permit>>& permits,
@@ -148,6 +158,8 @@
   base::Instant next_plan_;  // not earlier than this
   base::Instant next_waiting_log_;
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
+  // Open runs of tasks under which workers have crashed, and their workers.
+  std::map<std::pair<jobs::TaskKey, uint64_t>, jobs::WorkerBoot> unproven_runs_;
   // Whether a pass over all sessions is in progress, and the last worker that
   // it has called; empty before the first.
   bool is_call_round_active_ = false;
--- a/libs/jobcontrol/include/jobcontrol/leader_metrics.h
+++ b/libs/jobcontrol/include/jobcontrol/leader_metrics.h
@@ -19,6 +19,9 @@
   telemetry::Counter& advice_queries;
   telemetry::Counter& advice_queries_failed;
   telemetry::Counter& workers_lost;
+  telemetry::Counter& trials_started;
+  telemetry::Counter& suspects_cleared;
+  telemetry::Counter& jobs_given_up;
   telemetry::Gauge& workers_usable;
   telemetry::Gauge& jobs_active;
 };
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -49,6 +49,9 @@
   // Resends stop orders that an earlier leader may not have completed.
   for (const auto& record : context_.table().workers() | std::views::values) {
     for (const jobs::OpenRun& run : record.runs) {
+      const jobs::StartRun start{run.task, run.run, record.info.boot};
+      scheduler_.OnInheritedRun(context_.table(), start, now);
+      WatchSuspect(start);
       if (!IsWanted(run.task)) {
         sessions_.at(record.info.boot.id).Stop(run.task, run.run);
       }
@@ -107,6 +110,8 @@
   }
   if (jobs::WorkerSession* session = FindSession(worker.boot)) {
     session->OnHeartbeat(worker, clock_ms, context_.Now());
+  } else {
+    DeclareReplacedWorkersLost(worker);
   }
   if (record != nullptr && record->info == worker) {
     done(RecordResult::kRecorded);
@@ -189,6 +194,8 @@
     // next batch.
     std::ranges::copy(batch.ends, std::back_inserter(batch_.ends));
     std::ranges::copy(batch.cursors, std::back_inserter(batch_.cursors));
+    std::ranges::copy(batch.proven_runs,
+                      std::back_inserter(batch_.proven_runs));
   }
   needs_plan_ = true;
   std::ranges::for_each(callbacks, [&](auto& done) { done(result); });
@@ -201,7 +208,10 @@
   needs_plan_ = true;
   if (changes.has_worker_changes) {
     SyncSessions();
+    scheduler_.OnWorkersChanged(context_.table());
   }
+  std::ranges::for_each(changes.crash_causes,
+                        [this](auto& task) { LogCrashCause(task); });
   const base::Instant now = context_.Now();
   for (const wire::JobId& id : changes.added_jobs) {
     const jobs::JobRecord* job = context_.table().FindJob(id);
@@ -310,35 +320,6 @@
   }
 }
 
-void Leader::RemoveLostWorkers() {
-  const base::Instant now = context_.Now();
-  for (auto& [id, session] : sessions_) {
-    if (!session.IsLost(now) ||
-        !workers_being_removed_.insert(session.boot()).second) {
-      continue;
-    }
-    Decision("worker-lost")
-        .With("worker", id)
-        .With("boot", session.boot().started_ms)
-        .With("ended", session.HasExited())
-        .Write();
-    metrics_.workers_lost.Add();
-    const jobs::WorkerRecord& record = context_.table().workers().at(id);
-    for (const jobs::OpenRun& run : record.runs) {
-      Decision("run-lost")
-          .With("task", FormatTaskName(run.task))
-          .With("run", run.run)
-          .With("worker", id)
-          .With("age_us", session.AgeAtLastSign(run.task, run.run))
-          .Write();
-      batch_.ends.push_back({session.boot(), run.task, run.run,
-                             jobs::RunOutcome::kLeaseExpired,
-                             session.CheckpointOf(run.task, run.run), true});
-    }
-    batch_.removed_workers.push_back(session.boot());
-  }
-}
-
 void Leader::RequestAdvice(const std::vector<jobs::AdviceRequest>& requests) {
   const auto queries = advice_.AssignQueries(
       requests, context_.LiveAdvisers(context_.Now()), context_.Now());
@@ -379,6 +360,7 @@
 
 void Leader::Tick() {
   RemoveLostWorkers();
+  ProveSuspects();
   AddDueOccurrences();
   StartCallRound();
   needs_plan_ = true;
--- a/libs/jobcontrol/src/leader_metrics.cc
+++ b/libs/jobcontrol/src/leader_metrics.cc
@@ -28,6 +28,16 @@
       workers_lost(metrics.GetCounter("sassafras_workers_lost_total",
                                       "Workers removed because their lease "
                                       "expired or their process ended.")),
+      trials_started(metrics.GetCounter(
+          "sassafras_trials_total",
+          "Runs started of tasks under which workers have crashed.")),
+      suspects_cleared(metrics.GetCounter(
+          "sassafras_suspects_cleared_total",
+          "Tasks under which workers have crashed, and a run of which then "
+          "lived long enough to prove that they aren't the cause.")),
+      jobs_given_up(metrics.GetCounter(
+          "sassafras_jobs_crash_cause_total",
+          "Jobs that failed because one of their tasks crashes workers.")),
       workers_usable(metrics.GetGauge("sassafras_workers_usable",
                                       "Workers that accept new task runs.")),
       jobs_active(metrics.GetGauge("sassafras_jobs_active",
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -49,7 +49,8 @@
       .With("term", options_.term)
       .Write();
   metrics_.runs_started.Add();
-  scheduler_.OnStart(start, context_.Now());
+  scheduler_.OnStart(context_.table(), start, context_.Now());
+  WatchSuspect(start);
   session->Start(std::move(order));
   SendPendingCalls(*session);
 }
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/reason.h"
+#include "jobs/crash.h"
 #include "jobs/manifest.h"
 #include "jobs/types.h"
 
@@ -31,6 +32,7 @@
   std::string checkpoint;  // unused for gangs; see StepRecord::checkpoint
   // The end of `run` was presumed and may yet be reported.
   bool is_end_presumed = false;
+  Crashes crashes;
 };
 WIRE_DEFINE_ARRAY(TaskRecord,
                   run,
@@ -38,7 +40,8 @@
                   is_open,
                   failures,
                   checkpoint,
-                  is_end_presumed)
+                  is_end_presumed,
+                  crashes)
 
 struct StepRecord {
   std::vector<TaskRecord> tasks;
@@ -162,8 +165,27 @@
   // Concluded from the loss of the worker, which has not reported this end. A
   // report replaces it, whichever of the two is recorded first.
   bool is_presumed = false;
+  // Of a presumed end: what the crash of the worker says about the run, and
+  // when it was noticed, in ms since 1970.
+  CrashRole crash_role = CrashRole::kNone;
+  int64_t crashed_at_ms = 0;
 };
-WIRE_DEFINE_ARRAY(EndRun, worker, task, run, outcome, checkpoint, is_presumed)
+WIRE_DEFINE_ARRAY(EndRun,
+                  worker,
+                  task,
+                  run,
+                  outcome,
+                  checkpoint,
+                  is_presumed,
+                  crash_role,
+                  crashed_at_ms)
+
+// The run has lived long enough to prove that its task doesn't crash workers.
+struct ProvenRun {
+  TaskKey task;
+  uint64_t run = 0;
+};
+WIRE_DEFINE_ARRAY(ProvenRun, task, run)
 
 // Run ends of the worker up to `cursor` are in this batch or were recorded
 // earlier.
@@ -184,8 +206,9 @@
 // One log entry. The members are applied in the order of their declaration.
 struct Batch {
   std::vector<Manifest> manifests;
-  std::vector<WorkerInfo> workers;
   std::vector<EndRun> ends;
+  std::vector<ProvenRun> proven_runs;
+  std::vector<WorkerInfo> workers;
   std::vector<AdvanceCursor> cursors;
   // None of their runs is still running.
   std::vector<WorkerBoot> removed_workers;
@@ -199,8 +222,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Batch,
                                                 manifests,
-                                                workers,
                                                 ends,
+                                                proven_runs,
+                                                workers,
                                                 cursors,
                                                 removed_workers,
                                                 cancels,
@@ -216,6 +240,8 @@
   std::vector<wire::JobId> ended_jobs;  // jobs that left JobPhase::kActive
   // Open runs of tasks that an earlier run has completed. Must be stopped.
   std::vector<StartRun> surplus_runs;
+  // Tasks whose job was given up because they crash their workers.
+  std::vector<TaskKey> crash_causes;
   bool is_manifest_changed = false;
   bool has_worker_changes = false;  // a worker process was added or removed
 
@@ -265,6 +291,7 @@
   bool IsStale(const WorkerInfo& info) const;
   void RemoveWorkersAtAddress(const WorkerInfo& info);
   void End(const EndRun& end);
+  void Prove(const ProvenRun& proven);
   void Remove(const WorkerBoot& boot);
   void Cancel(const wire::JobId& id);
   void Add(const AddJob& add);
@@ -276,6 +303,7 @@
   bool CloseRun(const EndRun& end);
   void RecordEnd(JobRecord& job, const EndRun& end, bool was_open);
   void CountEnd(JobRecord& job, StepRecord& step, const EndRun& end);
+  void CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end);
   void AddSurplusRuns(const EndRun& done);
   void RecordGangEnd(JobRecord& job, StepRecord& step, const EndRun& end);
   void RecordTaskEnd(JobRecord& job, StepRecord& step, const EndRun& end);
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -18,6 +18,7 @@
 #include "jobs/advice.h"
 #include "jobs/job_table.h"
 #include "jobs/job_timing.h"
+#include "jobs/trials.h"
 #include "jobs/types.h"
 #include "jobs/worker_health.h"
 #include "jobs/worker_speed.h"
@@ -71,7 +72,14 @@
   // is the job's queue, null if there is none.
   void OnJob(const JobRecord& job, const Queue* queue, base::Instant now);
   void OnJobEnded(const wire::JobId& job);
-  void OnStart(const StartRun& start, base::Instant now);
+  // A start was recorded. `table` contains it.
+  void OnStart(const JobTable& table, const StartRun& start, base::Instant now);
+  // A new leader found the run open in the table.
+  void OnInheritedRun(const JobTable& table,
+                      const StartRun& start,
+                      base::Instant now);
+  // Workers were added to the table or removed from it.
+  void OnWorkersChanged(const JobTable& table);
   // A run ended with any outcome. `table` must not contain the end yet.
   void OnEnd(const JobTable& table, const EndRun& end, base::Instant now);
   // A run on `worker` is stuck or a straggler and is about to be stopped.
@@ -90,6 +98,7 @@
   std::map<wire::JobId, JobTiming> timings_;  // of active jobs
   WorkerHealth health_;
   WorkerSpeed speed_;
+  Trials trials_;
   // Workers on which each task failed or was a straggler.
   std::map<wire::JobId, std::map<TaskKey, std::set<wire::WorkerId>>> failed_on_;
   std::set<WorkerBoot> reserved_workers_;  // of the last plan
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -82,10 +82,10 @@
 }
 
 bool Batch::IsEmpty() const {
-  return manifests.empty() && workers.empty() && ends.empty() &&
-         cursors.empty() && removed_workers.empty() && cancels.empty() &&
-         jobs.empty() && occurrences.empty() && starts.empty() &&
-         forgotten.empty();
+  return manifests.empty() && ends.empty() && proven_runs.empty() &&
+         workers.empty() && cursors.empty() && removed_workers.empty() &&
+         cancels.empty() && jobs.empty() && occurrences.empty() &&
+         starts.empty() && forgotten.empty();
 }
 
 void Changes::Append(Changes later) {
@@ -93,6 +93,7 @@
   std::ranges::move(later.added_jobs, std::back_inserter(added_jobs));
   std::ranges::move(later.ended_jobs, std::back_inserter(ended_jobs));
   std::ranges::move(later.surplus_runs, std::back_inserter(surplus_runs));
+  std::ranges::move(later.crash_causes, std::back_inserter(crash_causes));
   is_manifest_changed |= later.is_manifest_changed;
   has_worker_changes |= later.has_worker_changes;
 }
@@ -100,8 +101,11 @@
 Changes JobTable::Apply(const Batch& batch) {
   changes_ = {};
   std::ranges::for_each(batch.manifests, [this](auto& it) { Put(it); });
-  std::ranges::for_each(batch.workers, [this](auto& it) { Put(it); });
+  // Before the workers, because a later boot ends the runs of the earlier one
+  // without telling what its crash says about them.
   std::ranges::for_each(batch.ends, [this](auto& it) { End(it); });
+  std::ranges::for_each(batch.proven_runs, [this](auto& it) { Prove(it); });
+  std::ranges::for_each(batch.workers, [this](auto& it) { Put(it); });
   for (const auto& [worker, cursor] : batch.cursors) {
     const auto it = workers_.find(worker.id);
     if (it != workers_.end() && it->second.info.boot == worker) {
@@ -298,9 +302,44 @@
     --step->open;
   }
   task.is_end_presumed = end.is_presumed;
+  CountCrash(job, task, end);
   CountEnd(job, *step, end);
 }
 
+// A run that ended by itself didn't crash its worker, and that of a task that
+// has crashed others would have. A report shows that the loss that had been
+// presumed wasn't caused by the run.
+void JobTable::CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end) {
+  if (!end.is_presumed) {
+    const bool ended_by_itself =
+        end.outcome == RunOutcome::kDone || end.outcome == RunOutcome::kFailed;
+    std::erase_if(task.crashes, [&](auto& it) {
+      return ended_by_itself || it.run == end.run;
+    });
+    return;
+  }
+  if (end.crash_role == CrashRole::kNone) {
+    return;
+  }
+  task.crashes.push_back(
+      {end.worker, end.run, end.crash_role, end.crashed_at_ms});
+  if (job.phase == JobPhase::kActive && IsCrashCause(task.crashes)) {
+    changes_.crash_causes.push_back(end.task);
+    EndJob(job, JobPhase::kFailed);
+  }
+}
+
+void JobTable::Prove(const ProvenRun& proven) {
+  StepRecord* step = FindStep(proven.task.step);
+  if (step == nullptr || proven.task.index >= step->tasks.size()) {
+    return;
+  }
+  TaskRecord& task = step->tasks[proven.task.index];
+  if (task.run == proven.run && task.is_open) {
+    task.crashes.clear();
+  }
+}
+
 void JobTable::CountEnd(JobRecord& job, StepRecord& step, const EndRun& end) {
   const bool was_done = step.IsDone();
   if (job.spec.steps[end.task.step.step].is_gang) {
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -56,15 +56,6 @@
   return racks;
 }
 
-void AddTask(const WaitingStep& step, Candidate& worker) {
-  worker.free_capacity -= step.spec->Charge();
-  worker.has_fillers |= step.spec->is_filler;
-  worker.has_user_serving_tasks |= step.spec->ServesUsers();
-  if (step.spec->max_per_worker > 0) {
-    worker.placed_steps.push_back(step.key);
-  }
-}
-
 // Returns the number of tasks of the step on the worker.
 size_t CountTasks(const StepKey& step, const Candidate& worker) {
   const auto open = std::ranges::count(worker.record->runs, step,
@@ -87,6 +78,15 @@
 
 }  // namespace
 
+void AddTask(const WaitingStep& step, Candidate& worker) {
+  worker.free_capacity -= step.spec->Charge();
+  worker.has_fillers |= step.spec->is_filler;
+  worker.has_user_serving_tasks |= step.spec->ServesUsers();
+  if (step.spec->max_per_worker > 0) {
+    worker.placed_steps.push_back(step.key);
+  }
+}
+
 bool IsEligible(const WaitingStep& step, const Candidate& worker) {
   const std::string& label = step.spec->required_label;
   const auto& labels = worker.info().labels;
@@ -95,7 +95,10 @@
 }
 
 bool HasFreeCapacity(const WaitingStep& step, const Candidate& worker) {
-  if (worker.is_reserved || !step.spec->Charge().Fits(worker.free_capacity)) {
+  const bool is_closed =
+      worker.is_reserved ||
+      (worker.job_on_trial && *worker.job_on_trial != step.key.job);
+  if (is_closed || !step.spec->Charge().Fits(worker.free_capacity)) {
     return false;
   }
   return step.spec->max_per_worker == 0 ||
@@ -141,6 +144,10 @@
   idle_advice_hosts_ = sources.idle_advice_hosts();
   CollectWorkers(sources.usable_workers());
   std::ranges::sort(waiting_steps_, {}, &WaitingStep::Rank);
+  // Suspects first, so that workers which are kept free of other young runs for
+  // them don't get any from steps of higher rank.
+  std::ranges::for_each(waiting_steps_,
+                        [this](auto& step) { PlaceSuspects(step); });
   for (const WaitingStep& step : waiting_steps_) {
     PlaceStep(step);
   }
@@ -187,6 +194,9 @@
   candidate.speed = history_.speed.SpeedOf(record.info.boot);
   candidate.has_fillers = record.load.fillers > 0;
   candidate.has_user_serving_tasks = record.load.user_serving > 0;
+  if (history_.trials.HasSuspects()) {
+    candidate.job_on_trial = history_.trials.JobOnTrial(record.info.boot, now_);
+  }
   return candidate;
 }
 
@@ -257,7 +267,7 @@
   }
   const size_t wanted =
       step.record->tasks.size() - step.record->done - step.record->open;
-  if (plan_.starts.size() - before >= wanted) {
+  if (plan_.starts.size() - before + step.suspects_placed >= wanted) {
     return;
   }
   const WaitReason reason = RequestAdviceIfNeeded(step);
@@ -320,7 +330,7 @@
 void Planner::PlaceTasks(const WaitingStep& step, const Pool& eligible) {
   for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
     const TaskRecord& task = step.record->tasks[n];
-    if (task.is_done || task.is_open) {
+    if (task.is_done || task.is_open || IsSuspect(task.crashes)) {
       continue;
     }
     Candidate* worker = ChooseWorker(step, {step.key, n}, eligible);
@@ -364,6 +374,12 @@
     run = std::max(run, task.run);
   }
   const size_t members = step.record->tasks.size();
+  const bool is_trial = HasSuspects(step);
+  if (is_trial) {
+    std::erase_if(pool, [&](const Candidate* worker) {
+      return LastStartOfOthers(step, *worker).has_value();
+    });
+  }
   std::vector<std::pair<Candidate*, Candidate>> saved_workers;
   std::vector<StartRun> starts;
   for (Candidate* worker : pool) {
@@ -372,6 +388,9 @@
     }
     while (starts.size() < members && HasFreeCapacity(step, *worker)) {
       AddTask(step, *worker);
+      if (is_trial) {
+        worker->job_on_trial = step.key.job;
+      }
       const auto index = static_cast<uint32_t>(starts.size());
       starts.push_back({{step.key, index}, run + 1, worker->boot()});
     }
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -21,6 +22,7 @@
 #include "jobs/job_table.h"
 #include "jobs/job_timing.h"
 #include "jobs/scheduler.h"
+#include "jobs/trials.h"
 #include "jobs/types.h"
 #include "jobs/worker_health.h"
 #include "jobs/worker_speed.h"
@@ -42,6 +44,9 @@
   bool has_fillers = false;
   // Runs long-running tasks with a latency target.
   bool has_user_serving_tasks = false;
+  // Closed to other jobs, because a suspect of this one is on trial there or
+  // soon will be.
+  std::optional<wire::JobId> job_on_trial;
   // Steps with a max_per_worker limit of which this plan places tasks here, one
   // element for each task.
   std::vector<StepKey> placed_steps;
@@ -60,6 +65,7 @@
   const StepRecord* record = nullptr;
   StepKey key;
   DueTime due;
+  size_t suspects_placed = 0;  // tasks that this plan starts in a trial
 
   auto Rank() const {
     return std::tuple(due.is_missed, queue->priority, due.at, job->order,
@@ -85,6 +91,10 @@
   friend auto operator<=>(const PlacementCost&, const PlacementCost&) = default;
 };
 
+// Takes the capacity of one task of the step.
+void AddTask(const WaitingStep& step, Candidate& worker);
+// Whether any task of the step must be started in a trial.
+bool HasSuspects(const WaitingStep& step);
 // Whether the worker could run a task of the step if it were empty.
 bool IsEligible(const WaitingStep& step, const Candidate& worker);
 // Whether a task of the step fits on the worker now.
@@ -103,6 +113,7 @@
   const std::map<wire::JobId, JobTiming>& timings;
   const WorkerHealth& health;
   const WorkerSpeed& speed;
+  const Trials& trials;
   const FailedOn& failed_on;
   const std::set<WorkerBoot>& reserved_workers;  // of the last plan
   const std::map<StepKey, base::Instant>& next_advice_search;
@@ -136,6 +147,14 @@
                     const std::vector<StepRecord>& steps);
   DueTime DueTimeOf(const WaitingStep& step) const;
 
+  void PlaceSuspects(WaitingStep& step);
+  Candidate* ChooseTrialWorker(const WaitingStep& step,
+                               const TaskKey& task,
+                               const Pool& eligible);
+  void CloseWorkerForTrial(const WaitingStep& step, const Pool& eligible);
+  bool CanCloseWorker(const WaitingStep& step);
+  std::optional<base::Instant> LastStartOfOthers(const WaitingStep& step,
+                                                 const Candidate& worker) const;
   void PlaceStep(const WaitingStep& step);
   Pool EligibleWorkers(const WaitingStep& step);
   Pool PermittedWorkers(const WaitingStep& step);
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -30,13 +30,31 @@
            [](auto& it) { return it.first.job; });
 }
 
-void Scheduler::OnStart(const StartRun& start, base::Instant now) {
+void Scheduler::OnStart(const JobTable& table,
+                        const StartRun& start,
+                        base::Instant now) {
   speed_.OnStart(start, now);
+  OnInheritedRun(table, start, now);
+}
+
+void Scheduler::OnInheritedRun(const JobTable& table,
+                               const StartRun& start,
+                               base::Instant now) {
+  const JobRecord* job = table.FindJob(start.task.step.job);
+  const TaskRecord* task = job == nullptr ? nullptr : job->FindTask(start.task);
+  if (task != nullptr) {
+    trials_.OnStart(start, task->crashes, now);
+  }
+}
+
+void Scheduler::OnWorkersChanged(const JobTable& table) {
+  trials_.Prune(table);
 }
 
 void Scheduler::OnEnd(const JobTable& table,
                       const EndRun& end,
                       base::Instant now) {
+  trials_.OnEnd(end);
   const bool has_failed = end.outcome == RunOutcome::kFailed;
   if (end.outcome == RunOutcome::kDone) {
     const StepRecord* step = table.FindStep(end.task.step);
@@ -66,9 +84,13 @@
                          const AdviceTracker& advice,
                          const PlanSources& sources,
                          base::Instant now) {
-  const SchedulerHistory history{
-      timings_,   health_,           speed_,
-      failed_on_, reserved_workers_, next_advice_search_};
+  const SchedulerHistory history{timings_,
+                                 health_,
+                                 speed_,
+                                 trials_,
+                                 failed_on_,
+                                 reserved_workers_,
+                                 next_advice_search_};
   Plan plan = Planner(table, advice, history, now).Make(sources);
   reserved_workers_ = plan.reserved_workers;
   for (const StepKey& step : plan.steps_without_query) {
