--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -102,6 +102,7 @@
   void PlanStarts();
   void LogWaitingSteps(std::span<const jobs::WaitingReason> waiting);
   std::vector<const jobs::WorkerRecord*> UsableWorkers() const;
+  bool IsAboutToChange(const jobs::WorkerBoot& worker) const;
   void AddDueOccurrences();
   void RemoveLostWorkers();
   // Proposes that the worker's process has ended, and so all its runs.
@@ -123,6 +124,8 @@
   void Dispatch(const jobs::StartRun& start);
   void StopRunsOf(const wire::JobId& job);
   void StopSurplusRun(const jobs::StartRun& run);
+  // Withdraws starts that no longer fit on the worker.
+  void StopUnfittingStarts(const jobs::WorkerBoot& worker);
   bool IsWanted(const jobs::TaskKey& task) const;
   size_t SendPendingCalls(jobs::WorkerSession& session);
   void StartCallRound();
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -13,7 +13,6 @@
 namespace sassafras::jobcontrol {
 namespace {
 
-using jobs::FormatTaskName;
 using telemetry::Decision;
 
 // Added to the placement service's own expected time to answer a query.
@@ -220,6 +219,8 @@
   }
   std::ranges::for_each(changes.started,
                         [this](auto& start) { Dispatch(start); });
+  std::ranges::for_each(changes.changed_workers,
+                        [this](auto& boot) { StopUnfittingStarts(boot); });
   std::ranges::for_each(changes.surplus_runs,
                         [this](auto& run) { StopSurplusRun(run); });
   for (const wire::JobId& job : changes.ended_jobs) {
@@ -296,7 +297,8 @@
       ++record;
     }
     const bool is_recorded = record != workers.end() && record->first == id;
-    if (is_recorded && session.IsUsable(now)) {
+    if (is_recorded && session.IsUsable(now) &&
+        !IsAboutToChange(session.boot())) {
       usable.push_back(&record->second);
     }
   }
@@ -304,6 +306,13 @@
   return usable;
 }
 
+// Whether the next batch changes the description of the worker, which may then
+// have less capacity than the table says, or be draining.
+bool Leader::IsAboutToChange(const jobs::WorkerBoot& worker) const {
+  return std::ranges::any_of(batch_.workers,
+                             [&](auto& info) { return info.boot == worker; });
+}
+
 void Leader::AddDueOccurrences() {
   const base::WallMs wall = context_.WallNow();
   for (const auto* record : context_.table().active() | std::views::values) {
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -91,6 +91,36 @@
   SendPendingCalls(*session);
 }
 
+// A worker whose capacity has shrunk carries out starts all the same. Runs that
+// it has confirmed go on.
+void Leader::StopUnfittingStarts(const jobs::WorkerBoot& worker) {
+  const jobs::WorkerRecord* record = context_.table().FindWorker(worker.id);
+  jobs::WorkerSession* session = FindSession(worker);
+  if (record == nullptr || session == nullptr) {
+    return;
+  }
+  jobs::Resources used = record->load.used;
+  // The latest starts give way. One that may have reached the worker still
+  // counts, so that an earlier one isn't repeated beside it.
+  for (const jobs::OpenRun& run :
+       std::vector(record->runs.rbegin(), record->runs.rend())) {
+    if (used.Fits(record->info.capacity) ||
+        !session->IsStartPending(run.task, run.run)) {
+      continue;
+    }
+    Decision("start-withdrawn")
+        .With("task", FormatTaskName(run.task))
+        .With("run", run.run)
+        .With("worker", worker.id)
+        .Write();
+    if (auto end = session->Stop(run.task, run.run)) {
+      used -= run.charge;
+      AddEnd(*std::move(end));
+    }
+  }
+  SendPendingCalls(*session);
+}
+
 // Whether the task still has to run. A task that an earlier run has completed
 // may have a later run that is yet to be stopped.
 bool Leader::IsWanted(const jobs::TaskKey& task) const {
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -240,6 +240,8 @@
   std::vector<wire::JobId> ended_jobs;  // jobs that left JobPhase::kActive
   // Open runs of tasks that an earlier run has completed. Must be stopped.
   std::vector<StartRun> surplus_runs;
+  // Workers that describe themselves differently than before.
+  std::vector<WorkerBoot> changed_workers;
   // Tasks whose job was given up because they crash their workers.
   std::vector<TaskKey> crash_causes;
   bool is_manifest_changed = false;
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -136,6 +136,9 @@
   // Stops a run. If its start was never sent, the run ends at once and its end
   // is returned.
   std::optional<EndRun> Stop(const TaskKey& task, uint64_t run);
+  // Whether the worker hasn't confirmed the start of the run yet, so that the
+  // order may be sent, or sent again.
+  bool IsStartPending(const TaskKey& task, uint64_t run) const;
   void Pace(const TaskKey& task, uint64_t run, uint32_t percent);
 
   // Returns the calls to make now. The reply to each goes to OnOrderReply.
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -93,6 +93,7 @@
   std::ranges::move(later.added_jobs, std::back_inserter(added_jobs));
   std::ranges::move(later.ended_jobs, std::back_inserter(ended_jobs));
   std::ranges::move(later.surplus_runs, std::back_inserter(surplus_runs));
+  std::ranges::move(later.changed_workers, std::back_inserter(changed_workers));
   std::ranges::move(later.crash_causes, std::back_inserter(crash_causes));
   is_manifest_changed |= later.is_manifest_changed;
   has_worker_changes |= later.has_worker_changes;
@@ -212,6 +213,7 @@
   }
   worker.info = info;
   worker.info.is_draining |= was_draining;
+  changes_.changed_workers.push_back(info.boot);
 }
 
 // Whether a later boot is known with the same id or at the same address, so
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -89,6 +89,12 @@
   return std::nullopt;
 }
 
+bool WorkerSession::IsStartPending(const TaskKey& task, uint64_t run) const {
+  const auto it = runs_.find({task, run});
+  return it != runs_.end() && (it->second.phase == Phase::kQueued ||
+                               it->second.phase == Phase::kStarting);
+}
+
 void WorkerSession::Pace(const TaskKey& task, uint64_t run, uint32_t percent) {
   unsent_paces_.push_back({task, run, percent});
 }
