--- a/libs/state/test/machine_jobs_test.cc
+++ b/libs/state/test/machine_jobs_test.cc
@@ -247,6 +247,21 @@
   EXPECT_EQ(cell.Job("j").reason, "task 0 failed 2 times, last: reported");
 }
 
+// The worker's loss isn't a failure of the task, but the task, alone on it,
+// must not take down worker after worker either.
+TEST(MachineTest, ATaskThatCrashesEachWorkerIsGivenUp) {
+  constexpr int kMaxCrashes = 5;
+  Cell cell = CellWithOneWorker();
+  cell.Submit(Spec("j", "skeem", JobKind::kBatch, 1, 1000));
+  int crashes = 0;
+  while (crashes <= kMaxCrashes &&
+         cell.Assign("j", 0, "w1").code == ResultCode::kOk) {
+    ++crashes;
+    cell.PutWorker("w1", "r" + std::to_string(crashes + 1), 4000);
+  }
+  EXPECT_LE(crashes, kMaxCrashes);
+}
+
 TEST(MachineTest, CancellationReportsWhetherTasksMayHaveStarted) {
   Cell cell = CellWithOneWorker();
   cell.Submit(Spec("j", "skeem", JobKind::kBatch, 4, 1000));
