Job queues: small work starts beside a task whose siblings wait

Cause: a step whose tasks take more than half of a worker reserves workers. One of them was already running a task of that step; it stayed reserved for the next, so what was free beside the running task lay idle until it ended. Change: a worker that runs a task of the step isn't reserved for it. When that task ends there is room for the next one, and until then no other wait is shorter for it.

--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -458,7 +458,9 @@
 
 // Reserves for the step the eligible workers with the most free capacity, which
 // will be able to run it soonest, so that steps of lower rank don't use them.
-// At most half of the pool is reserved.
+// At most half of the pool is reserved. A worker that runs a task of the step
+// isn't: the end of that task makes room for the next one, until then the rest
+// would lie idle.
 void Planner::Reserve(const WaitingStep& step, Pool eligible) {
   const Pool& pool = PoolOf(step);
   std::ranges::sort(eligible, std::greater(), [](const Candidate* worker) {
@@ -472,6 +474,9 @@
     if (missing == 0 || 2 * (reserved + 1) > pool.size()) {
       return;
     }
+    if (CountTasks(step.key, *worker) > 0) {
+      continue;
+    }
     reserved += worker->is_reserved ? 0 : 1;
     worker->is_reserved = true;
     plan_.reserved_workers.insert(worker->boot());
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -249,6 +249,26 @@
 
 // Work of a higher priority is placed first and would otherwise choose the
 // workers that have been emptied for a gang.
+// The room beside the running task would lie idle until that task ends, and
+// then there is enough for the next one.
+TEST_F(SchedulerTest, SmallWorkStartsBesideATaskWhoseSiblingsWait) {
+  WorkerInfo big = Worker("big");
+  big.labels = {"big"};
+  AddWorker(big);
+  AddWorker(Worker("other"));
+  StepSpec large = Step(2);
+  large.need.cpu_milli = 10'000;
+  large.required_label = "big";
+  AddJob("large", {large});
+  StartAll(MakePlan());
+  StepSpec small = Step(1);
+  small.required_label = "big";
+  AddJob("small", {small}, 1);
+  const Plan plan = MakePlan(2);
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.starts[0].task, Task("small"));
+}
+
 TEST_F(SchedulerTest, OtherWorkAvoidsWorkersThatAreReserved) {
   for (const char* name : {"a", "b"}) {
     AddWorker(Worker(name));
--- a/libs/jobs/test/trial_test.cc
+++ b/libs/jobs/test/trial_test.cc
@@ -109,7 +109,7 @@
   AddJob("suspect", Step(1));
   MakeSuspects("suspect", 1);
   size_t trials = 0;
-  for (int n = 0; n < 8; ++n) {
+  for (int64_t n = 0; n < 8; ++n) {
     AddJob("busy" + std::to_string(n), Step(4));
     trials += WorkersOf(MakePlan(100 * n), "suspect").size();
   }
