--- /dev/null
+++ b/libs/jobs/src/job_table_ends.cc
@@ -0,0 +1,177 @@
+// Applies the ends of runs to the job table: which of two ends of a run counts,
+// and what an end says about its task, its step and its job.
+
+#include <algorithm>
+#include <ranges>
+#include <vector>
+
+#include "jobs/crash.h"
+#include "jobs/job_table.h"
+
+namespace sassafras::jobs {
+
+// A report may follow the presumed end of its run, when the worker has been
+// removed.
+void JobTable::End(const EndRun& end) {
+  const bool was_open = CloseRun(end);
+  const auto job = jobs_.find(end.task.step.job);
+  if (job != jobs_.end() && (was_open || !end.is_presumed)) {
+    RecordEnd(job->second, end, was_open);
+  }
+}
+
+// Removes the run from its worker. Returns whether it was open there.
+bool JobTable::CloseRun(const EndRun& end) {
+  const auto it = workers_.find(end.worker.id);
+  if (it == workers_.end() || it->second.info.boot != end.worker) {
+    return false;
+  }
+  std::vector<OpenRun>& runs = it->second.runs;
+  const auto ended = std::ranges::find_if(runs, [&](const OpenRun& open) {
+    return open.run == end.run && open.task == end.task;
+  });
+  if (ended == runs.end()) {
+    return false;
+  }
+  it->second.load.Remove(*ended);
+  runs.erase(ended);
+  return true;
+}
+
+void JobTable::RecordEnd(JobRecord& job, const EndRun& end, bool was_open) {
+  StepRecord* step = FindStep(end.task.step);
+  if (step == nullptr || end.task.index >= step->tasks.size()) {
+    return;
+  }
+  TaskRecord& task = step->tasks[end.task.index];
+  if (end.run < task.run && end.outcome == RunOutcome::kDone) {
+    CountEnd(job, *step, end);
+    AddSurplusRuns(end);
+    return;
+  }
+  const bool is_expected = was_open ? task.is_open : task.is_end_presumed;
+  if (task.run != end.run || !is_expected) {
+    return;
+  }
+  if (was_open) {
+    task.is_open = false;
+    --step->open;
+  }
+  task.is_end_presumed = end.is_presumed;
+  CountCrash(job, task, end);
+  CountEnd(job, *step, end);
+}
+
+// A run that ended by itself didn't crash its worker, and that of a task that
+// has crashed others would have. A report shows that the loss that had been
+// presumed wasn't caused by the run.
+void JobTable::CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end) {
+  if (!end.is_presumed) {
+    const bool ended_by_itself =
+        end.outcome == RunOutcome::kDone || end.outcome == RunOutcome::kFailed;
+    std::erase_if(task.crashes, [&](auto& it) {
+      return ended_by_itself || it.run == end.run;
+    });
+    return;
+  }
+  if (end.crash_role == CrashRole::kNone) {
+    return;
+  }
+  task.crashes.push_back(
+      {end.worker, end.run, end.crash_role, end.crashed_at_ms});
+  if (job.phase == JobPhase::kActive && IsCrashCause(task.crashes)) {
+    changes_.crash_causes.push_back(end.task);
+    EndJob(job, JobPhase::kFailed);
+  }
+}
+
+void JobTable::Prove(const ProvenRun& proven) {
+  StepRecord* step = FindStep(proven.task.step);
+  if (step == nullptr || proven.task.index >= step->tasks.size()) {
+    return;
+  }
+  TaskRecord& task = step->tasks[proven.task.index];
+  if (task.run == proven.run && task.is_open) {
+    task.crashes.clear();
+  }
+}
+
+void JobTable::CountEnd(JobRecord& job, StepRecord& step, const EndRun& end) {
+  const bool was_done = step.IsDone();
+  if (job.spec.steps[end.task.step.step].is_gang) {
+    RecordGangEnd(job, step, end);
+  } else {
+    RecordTaskEnd(job, step, end);
+  }
+  if (job.phase == JobPhase::kActive && !was_done && step.IsDone()) {
+    FinishStep(job, end.task.step.occurrence);
+  }
+}
+
+// The end of `done.run` was presumed before it was reported, and the task or
+// its gang was started again in between.
+void JobTable::AddSurplusRuns(const EndRun& done) {
+  const StepRecord& step = *FindStep(done.task.step);
+  for (const WorkerRecord& worker : workers_ | std::views::values) {
+    for (const OpenRun& it : worker.runs) {
+      if (it.task.step == done.task.step && it.run > done.run &&
+          step.tasks[it.task.index].is_done) {
+        changes_.surplus_runs.push_back({it.task, it.run, worker.info.boot});
+      }
+    }
+  }
+}
+
+// The success of one member completes the whole gang. Failures of several
+// members count once per run.
+void JobTable::RecordGangEnd(JobRecord& job,
+                             StepRecord& step,
+                             const EndRun& end) {
+  if (!end.checkpoint.empty()) {
+    step.checkpoint = end.checkpoint;
+  }
+  if (end.outcome == RunOutcome::kDone) {
+    std::ranges::for_each(step.tasks, [](auto& it) { it.is_done = true; });
+    step.done = static_cast<uint32_t>(step.tasks.size());
+  } else if (end.outcome == RunOutcome::kFailed && end.run > step.last_failed) {
+    step.last_failed = end.run;
+    ++step.failed_runs;
+    const bool is_lasting = job.spec.steps[end.task.step.step].is_lasting;
+    if (!is_lasting && !step.IsDone() && step.failed_runs >= MaxAttempts(job)) {
+      EndJob(job, JobPhase::kFailed);
+    }
+  }
+}
+
+void JobTable::RecordTaskEnd(JobRecord& job,
+                             StepRecord& step,
+                             const EndRun& end) {
+  TaskRecord& task = step.tasks[end.task.index];
+  const bool is_lasting = job.spec.steps[end.task.step.step].is_lasting;
+  if (!end.checkpoint.empty()) {
+    task.checkpoint = end.checkpoint;
+  }
+  if (task.is_done || is_lasting) {
+    return;
+  }
+  if (end.outcome == RunOutcome::kDone) {
+    task.is_done = true;
+    ++step.done;
+  } else if (end.outcome == RunOutcome::kFailed &&
+             ++task.failures >= MaxAttempts(job)) {
+    EndJob(job, JobPhase::kFailed);
+  }
+}
+
+void JobTable::FinishStep(JobRecord& job, uint64_t occurrence) {
+  const auto& steps = job.occurrences.at(occurrence);
+  if (!std::ranges::all_of(steps, [](auto& it) { return it.IsDone(); })) {
+    return;
+  }
+  ++job.finished_occurrences;
+  if (job.finished_occurrences == job.spec.OccurrenceCount()) {
+    EndJob(job, JobPhase::kCompleted);
+  }
+}
+
+}  // namespace sassafras::jobs
