--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -49,7 +49,7 @@
   for (const auto& record : context_.table().workers() | std::views::values) {
     for (const jobs::OpenRun& run : record.runs) {
       const jobs::StartRun start{run.task, run.run, record.info.boot};
-      scheduler_.OnInheritedRun(context_.table(), start, now);
+      scheduler_.OnOpenRun(context_.table(), start, now);
       WatchSuspect(start);
       if (!IsWanted(run.task)) {
         sessions_.at(record.info.boot.id).Stop(run.task, run.run);
--- a/libs/jobcontrol/test/shrinking_worker_test.cc
+++ b/libs/jobcontrol/test/shrinking_worker_test.cc
@@ -42,7 +42,6 @@
   }
 
   void Report() {
-    reported_cpu_ = info_.capacity.cpu_milli;
     context_.leader->OnHeartbeat(info_, context_.ClockMs(),
                                  [](RecordResult) {});
   }
@@ -52,7 +51,7 @@
     for (auto& order : std::exchange(context_.orders, {})) {
       if (const auto* start =
               std::get_if<jobs::StartOrder>(&order.call.order)) {
-        Carry(*start);
+        CarryOut(*start);
       } else if (const auto* stop =
                      std::get_if<jobs::StopOrder>(&order.call.order)) {
         End(stop->task, stop->run, jobs::RunOutcome::kStopped);
@@ -61,7 +60,7 @@
     }
   }
   // The worker starts whatever it is told to.
-  void Carry(const jobs::StartOrder& start) {
+  void CarryOut(const jobs::StartOrder& start) {
     const bool is_repeated = std::ranges::any_of(running_, [&](auto& run) {
       return run.task == start.task && run.run == start.run;
     });
@@ -163,7 +162,6 @@
   }
 
   jobs::WorkerInfo info_;
-  int64_t reported_cpu_ = 0;
   std::vector<jobs::RunReport> running_;
   std::vector<jobs::EndReport> ended_;
   uint64_t last_end_ = 0;
--- a/libs/jobs/include/jobs/trials.h
+++ b/libs/jobs/include/jobs/trials.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "base/time.h"
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -34,12 +34,12 @@
                         const StartRun& start,
                         base::Instant now) {
   speed_.OnStart(start, now);
-  OnInheritedRun(table, start, now);
+  OnOpenRun(table, start, now);
 }
 
-void Scheduler::OnInheritedRun(const JobTable& table,
-                               const StartRun& start,
-                               base::Instant now) {
+void Scheduler::OnOpenRun(const JobTable& table,
+                          const StartRun& start,
+                          base::Instant now) {
   const JobRecord* job = table.FindJob(start.task.step.job);
   const TaskRecord* task = job == nullptr ? nullptr : job->FindTask(start.task);
   if (task != nullptr) {
