--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -118,6 +118,9 @@
   void OnAdvice(const jobs::AssignedQuery& assigned,
                 const std::optional<std::vector<jobs::Permit>>& permits,
                 base::Instant sent_at);
+  void LogBatch(const jobs::Batch& batch,
+                RecordResult result,
+                base::Duration took);
   void OnRecorded(RecordResult result,
                   const jobs::Batch& batch,
                   std::vector<RecordDone> callbacks);
@@ -160,6 +163,8 @@
   bool needs_plan_ = true;   // the state changed since the last plan
   base::Instant next_plan_;  // not earlier than this
   base::Instant next_waiting_log_;
+  // When the oldest answer arrived that no plan has used yet.
+  std::optional<base::Instant> first_unused_answer_;
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
   // Open runs of tasks under which workers have crashed, and their workers.
   std::map<std::pair<jobs::TaskKey, uint64_t>, jobs::WorkerBoot> unproven_runs_;
--- a/libs/jobcontrol/include/jobcontrol/leader_metrics.h
+++ b/libs/jobcontrol/include/jobcontrol/leader_metrics.h
@@ -24,6 +24,8 @@
   telemetry::Counter& jobs_given_up;
   telemetry::Gauge& workers_usable;
   telemetry::Gauge& jobs_active;
+  telemetry::Histogram& plan_time;
+  telemetry::Histogram& commit_time;
 };
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -161,9 +161,10 @@
       std::make_shared<const jobs::Batch>(std::exchange(batch_, {}));
   auto callbacks = std::exchange(batch_callbacks_, {});
   context_.Record(
-      batch, [weak = weak_from_this(), batch,
+      batch, [weak = weak_from_this(), batch, proposed_at = context_.Now(),
               callbacks = std::move(callbacks)](RecordResult result) mutable {
         if (const auto self = weak.lock()) {
+          self->LogBatch(*batch, result, self->context_.Now() - proposed_at);
           self->OnRecorded(result, *batch, std::move(callbacks));
         } else {
           std::ranges::for_each(callbacks, [&](auto& done) { done(result); });
@@ -171,6 +172,20 @@
       });
 }
 
+void Leader::LogBatch(const jobs::Batch& batch,
+                      RecordResult result,
+                      base::Duration took) {
+  metrics_.commit_time.Observe(took);
+  Decision("batch")
+      .With("took_us", took)
+      .With("recorded", result == RecordResult::kRecorded)
+      .With("jobs", batch.jobs.size())
+      .With("workers", batch.workers.size())
+      .With("starts", batch.starts.size())
+      .With("ends", batch.ends.size())
+      .Write();
+}
+
 void Leader::OnRecorded(RecordResult result,
                         const jobs::Batch& batch,
                         std::vector<RecordDone> callbacks) {
@@ -263,6 +278,22 @@
   };
   jobs::Plan plan =
       scheduler_.MakePlan(context_.table(), advice_, sources, now);
+  const base::Duration took = context_.Now() - now;
+  metrics_.plan_time.Observe(took);
+  Decision("plan")
+      .With("took_us", took)
+      .With("answer_waited_us", first_unused_answer_
+                                    ? now - *first_unused_answer_
+                                    : base::Duration{})
+      .With("workers", sessions_.size())
+      .With("jobs", context_.table().active().size())
+      .With("ready", plan.ready_steps)
+      .With("without_room", plan.steps_without_room)
+      .With("starts", plan.starts.size())
+      .With("queries", plan.advice_requests.size())
+      .With("queries_open", advice_.CountOpenQueries())
+      .Write();
+  first_unused_answer_.reset();
   std::ranges::move(plan.starts, std::back_inserter(batch_.starts));
   RequestAdvice(plan.advice_requests);
   LogWaitingSteps(plan.waiting);
@@ -356,7 +387,9 @@
       .With("candidates", assigned.query.workers.size())
       .With("permitted", permits ? static_cast<int64_t>(permits->size()) : -1)
       .With("took_us", now - sent_at)
+      .With("expected_us", assigned.expected)
       .Write();
+  first_unused_answer_ = first_unused_answer_.value_or(now);
   if (permits) {
     advice_.OnAnswer(assigned.query.id, *permits, now);
   } else {
--- a/libs/jobcontrol/src/leader_metrics.cc
+++ b/libs/jobcontrol/src/leader_metrics.cc
@@ -41,6 +41,12 @@
       workers_usable(metrics.GetGauge("sassafras_workers_usable",
                                       "Workers that accept new task runs.")),
       jobs_active(metrics.GetGauge("sassafras_jobs_active",
-                                   "Jobs that have not ended.")) {}
+                                   "Jobs that have not ended.")),
+      plan_time(metrics.GetHistogram(
+          "sassafras_plan_seconds",
+          "Time that the control thread spent on one plan.")),
+      commit_time(metrics.GetHistogram(
+          "sassafras_batch_commit_seconds",
+          "Time from the proposal of a batch until it was applied.")) {}
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -94,6 +94,8 @@
   size_t CountIdleHosts(std::span<const wire::EntryId> hosts,
                         base::Instant now) const;
 
+  size_t CountOpenQueries() const { return open_queries_.size(); }
+
   // Whether a query about the step is in flight.
   bool HasOpenQuery(const StepKey& step) const;
 
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -48,6 +48,9 @@
 
 struct Plan {
   std::vector<StartRun> starts;
+  size_t ready_steps = 0;  // steps with tasks that could start
+  // Ready steps that have valid tickets, but only on workers without room.
+  size_t steps_without_room = 0;
   std::vector<WaitingReason> waiting;
   std::vector<AdviceRequest> advice_requests;  // most urgent first
   // Workers whose capacity is kept for steps that couldn't be placed.
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -135,6 +135,7 @@
   }
   idle_advice_hosts_ = sources.idle_advice_hosts();
   CollectWorkers(sources.usable_workers());
+  plan_.ready_steps = waiting_steps_.size();
   std::ranges::sort(waiting_steps_, {}, &WaitingStep::Rank);
   // Suspects first, so that workers which are kept free of other young runs for
   // them don't get any from steps of higher rank.
@@ -262,6 +263,8 @@
   if (plan_.starts.size() - before + step.suspects_placed >= wanted) {
     return;
   }
+  const bool is_unplaced = plan_.starts.size() == before;
+  plan_.steps_without_room += is_unplaced && !eligible.empty() ? 1 : 0;
   const WaitReason reason = RequestAdviceIfNeeded(step);
   plan_.waiting.push_back({step.key, reason});
   // Capacity must not go to other work while tickets are being renewed.
