--- a/libs/base/include/base/id.h
+++ b/libs/base/include/base/id.h
@@ -6,29 +6,75 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace sassafras::base {
 
-// A name chosen outside this process. `Tag` only tells kinds apart.
+// Returns the first eight bytes of the text as a number that orders texts as
+// they are ordered themselves, as far as these bytes differ.
+inline uint64_t OrderPrefix(std::string_view text) {
+  uint64_t prefix = 0;
+  for (size_t n = 0; n < sizeof(prefix); ++n) {
+    const auto byte = n < text.size() ? static_cast<uint8_t>(text[n]) : 0;
+    prefix = prefix << 8 | byte;
+  }
+  return prefix;
+}
+
+// A name chosen outside this process. `Tag` only tells kinds apart. Names are
+// keys of most tables: copies share their text, and most comparisons need only
+// its first bytes. Different copies may be used on different threads.
 template <typename Tag>
 class Name {
  public:
   Name() = default;
-  explicit Name(std::string text) : text_(std::move(text)) {}
+  explicit Name(std::string text) {
+    if (!text.empty()) {
+      prefix_ = OrderPrefix(text);
+      text_ = std::make_shared<const std::string>(std::move(text));
+    }
+  }
+
+  Name(const Name&) = default;
+  Name& operator=(const Name&) = default;
+  Name(Name&& other) noexcept
+      : prefix_(std::exchange(other.prefix_, 0)),
+        text_(std::move(other.text_)) {}
+  Name& operator=(Name&& other) noexcept {
+    prefix_ = std::exchange(other.prefix_, 0);
+    text_ = std::move(other.text_);
+    return *this;
+  }
+  ~Name() = default;
 
-  const std::string& str() const { return text_; }
-  bool empty() const { return text_.empty(); }
+  const std::string& str() const {
+    static const auto* const empty_text = new std::string;
+    return text_ == nullptr ? *empty_text : *text_;
+  }
+  bool empty() const { return text_ == nullptr; }
 
-  friend auto operator<=>(const Name&, const Name&) = default;
+  friend bool operator==(const Name& left, const Name& right) {
+    return left.prefix_ == right.prefix_ &&
+           (left.text_ == right.text_ || left.str() == right.str());
+  }
+  friend std::strong_ordering operator<=>(const Name& left, const Name& right) {
+    if (left.prefix_ != right.prefix_) {
+      return left.prefix_ <=> right.prefix_;
+    }
+    return left.text_ == right.text_ ? std::strong_ordering::equal
+                                     : left.str() <=> right.str();
+  }
   friend std::ostream& operator<<(std::ostream& out, const Name& name) {
-    return out << name.text_;
+    return out << name.str();
   }
 
  private:
-  std::string text_;
+  uint64_t prefix_ = 0;                      // OrderPrefix() of the text
+  std::shared_ptr<const std::string> text_;  // null if empty
 };
 
 // A number that only grows, handed out by this system. Zero means "none".
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -220,7 +220,8 @@
     order.done({jobs::OrderResult::kAccepted, std::nullopt});
   }
   jobs::HoldReply lists;
-  lists.running = {{{{wire::JobId("j"), 0, 0}, 0}, 1, "", 40, 0}};
+  const jobs::TaskKey task{{wire::JobId("j"), 0, 0}, 0};
+  lists.running.push_back({task, 1, "", 40, 0});
   context_.AnswerHolds(lists);
   context_.Advance(milliseconds(1'600));
   for (auto& hold : std::exchange(context_.holds, {})) {
