--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -15,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include <boost/container/flat_map.hpp>
+
 #include "base/time.h"
 #include "jobs/manifest.h"
 #include "jobs/types.h"
@@ -38,13 +40,22 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Permit, worker, ticket)
 
+// Free capacity that is kept for a step while a query about it is in flight.
+struct CapacityClaim {
+  WorkerBoot worker;
+  size_t tasks = 0;
+  Resources amount;  // of all these tasks
+};
+
 // A step that can't be placed with its current permits. `candidates` are the
 // workers that could run it, best first.
 struct AdviceRequest {
   StepKey step;
+  QueueId queue;
   AdvicePolicy policy;
   std::vector<WorkerBoot> candidates;
   bool has_capacity = false;  // at least one candidate has free capacity
+  std::vector<CapacityClaim> claims;
 };
 
 // Number of idle hosts that must remain for quicker queries when a query under
@@ -65,6 +76,8 @@
 // Not thread-safe. Lives for one term of leadership.
 class AdviceTracker {
  public:
+  using AnswerMap = boost::container::flat_map<wire::WorkerId, WorkerBoot>;
+
   // Returns the ticket with which `worker` may run `step`. Returns null if
   // there is none, or if it is about to expire.
   const std::string* Ticket(const StepKey& step,
@@ -81,12 +94,22 @@
 
   // Returns the workers, permitted or refused, about which an answer on `step`
   // is known. The reference is valid until the tracker is modified.
-  const std::map<wire::WorkerId, WorkerBoot>& AnsweredWorkers(
-      const StepKey& step) const;
+  const AnswerMap& AnsweredWorkers(const StepKey& step) const;
 
   // Ignores whether the ticket has expired.
   AdviceStatus StatusOf(const StepKey& step, const WorkerBoot& worker) const;
 
+  // Returns the capacity claimed by the query about the step that is in flight;
+  // empty if there is none. Valid until the tracker is modified.
+  std::span<const CapacityClaim> ClaimsOf(const StepKey& step) const;
+
+  // Returns the capacity that queries in flight have claimed on the worker.
+  Resources ClaimedOn(const WorkerBoot& worker) const;
+
+  // Returns the share of workers of which past answers on the queue's steps
+  // permitted the use, in (0, 1].
+  double PermittedShare(const QueueId& queue) const;
+
   // Whether any query about the step has been answered.
   bool HasAnswer(const StepKey& step) const;
 
@@ -125,22 +148,30 @@
   };
   // Answers about a step. Permission is final; only tickets expire.
   struct StepAdvice {
-    std::map<wire::WorkerId, WorkerPermit> allowed;
+    boost::container::flat_map<wire::WorkerId, WorkerPermit> allowed;
     // Allowed and refused workers.
-    std::map<wire::WorkerId, WorkerBoot> answered;
-    bool is_pending = false;  // a query is in flight
+    AnswerMap answered;
+    // The query in flight.
+    std::optional<AdviceQueryId> open_query;
     base::Instant next_query_at;
   };
   struct OpenQuery {
     wire::EntryId host;
     StepKey step;
+    QueueId queue;
     std::vector<WorkerBoot> workers;
     base::Duration validity{};
+    std::vector<CapacityClaim> claims;
   };
 
   std::vector<WorkerBoot> WorkersToQuery(const AdviceRequest& request,
                                          const StepAdvice& advice,
                                          base::Instant now) const;
+  void AddClaims(const OpenQuery& query);
+  void RemoveClaims(const OpenQuery& query);
+  void LearnPermittedShare(const OpenQuery& query,
+                           const StepAdvice& advice,
+                           size_t permitted);
   bool CanQuery(const wire::EntryId& host, base::Instant now) const;
 
   std::map<StepKey, StepAdvice> steps_;
@@ -149,6 +180,9 @@
   // Hosts whose last query failed.
   std::map<wire::EntryId, base::Instant> backoff_until_;
   AdviceQueryId last_id_;
+  std::map<QueueId, double> permitted_shares_;  // moving averages
+  // Sum of the claims of `open_queries_`.
+  std::map<WorkerBoot, Resources> claimed_;
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -283,6 +283,9 @@
   const std::map<wire::WorkerId, WorkerRecord>& workers() const {
     return workers_;
   }
+  // Changes whenever a worker process is added or removed. Pointers to worker
+  // records stay valid as long as it doesn't.
+  uint64_t worker_set_version() const { return worker_set_version_; }
   // Returns the number of active jobs in the queue that have not started a
   // task.
   uint64_t CountWaitingJobs(const QueueId& queue) const;
@@ -320,6 +323,7 @@
   std::map<QueueId, Queue> queues_;
   std::map<wire::JobId, JobRecord> jobs_;
   std::map<wire::WorkerId, WorkerRecord> workers_;
+  uint64_t worker_set_version_ = 0;
   uint64_t last_order_ = 0;
   std::map<uint64_t, const JobRecord*> active_;  // points into `jobs_`
   Changes changes_;  // effects of the batch being applied
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
 
 namespace sassafras::jobs {
 
+class Planner;
+
 // Why a step that could run was not placed, or not placed as a whole.
 enum class WaitReason {
   kNoRoom,          // permitted workers have no room for it
@@ -66,11 +69,19 @@
   std::function<std::vector<const WorkerRecord*>()> usable_workers;
   // Number of hosts that can send an advice query now.
   std::function<size_t()> idle_advice_hosts;
+  // Whether a worker that the last plan could use responds and accepts new work
+  // now. Called by MakePlanFor() only.
+  std::function<bool(const WorkerBoot&)> is_usable;
 };
 
 // Not thread-safe. Lives for one term of leadership.
 class Scheduler {
  public:
+  Scheduler();
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
   // A job was accepted at `now`, or a new leader found it in the table. `queue`
   // is the job's queue, null if there is none.
   void OnJob(const JobRecord& job, const Queue* queue, base::Instant now);
@@ -92,13 +103,23 @@
                    base::Instant now);
 
   // Repeats a start of an earlier plan only if that start was not applied to
-  // `table`.
+  // `table`. `table` and `advice` must outlive the scheduler.
   Plan MakePlan(const JobTable& table,
                 const AdviceTracker& advice,
                 const PlanSources& sources,
                 base::Instant now);
 
+  // Plans only `steps`, which have just become ready or for which an answer has
+  // come, at a cost that depends neither on the backlog nor on the number of
+  // workers. Leaves to MakePlan() what must be weighed against other steps:
+  // gangs, trials, and steps of lower priority than one that the last plan
+  // found no room for. The table must contain the starts of earlier plans.
+  Plan MakePlanFor(const std::set<StepKey>& steps,
+                   const PlanSources& sources,
+                   base::Instant now);
+
  private:
+  std::unique_ptr<Planner> planner_;          // of the last plan of all steps
   std::map<wire::JobId, JobTiming> timings_;  // of active jobs
   WorkerHealth health_;
   WorkerSpeed speed_;
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -21,6 +21,11 @@
 // Slower queries leave the last idle hosts to quicker ones.
 constexpr auto kSlowQueryTime = std::chrono::milliseconds(100);
 constexpr size_t kHostsForQuickQueries = 2;
+// The share of permitted workers that is assumed of a queue without answers.
+constexpr double kInitialPermittedShare = 0.5;
+// Weight of a new answer in the moving average, and the average's lower limit.
+constexpr double kAnswerWeight = 0.1;
+constexpr double kMinPermittedShare = 0.05;
 
 base::Duration ExpectedTime(const AdvicePolicy& policy, size_t workers) {
   const std::chrono::duration<double, std::milli> time(
@@ -71,9 +76,9 @@
   return AllowedWorkers(step, base::Instant::min());
 }
 
-const std::map<wire::WorkerId, WorkerBoot>& AdviceTracker::AnsweredWorkers(
+const AdviceTracker::AnswerMap& AdviceTracker::AnsweredWorkers(
     const StepKey& step) const {
-  static const auto* const none = new std::map<wire::WorkerId, WorkerBoot>;
+  static const auto* const none = new AnswerMap;
   const auto it = steps_.find(step);
   return it == steps_.end() ? *none : it->second.answered;
 }
@@ -94,7 +99,42 @@
 
 bool AdviceTracker::HasOpenQuery(const StepKey& step) const {
   const auto it = steps_.find(step);
-  return it != steps_.end() && it->second.is_pending;
+  return it != steps_.end() && it->second.open_query;
+}
+
+std::span<const CapacityClaim> AdviceTracker::ClaimsOf(
+    const StepKey& step) const {
+  const auto it = steps_.find(step);
+  if (it == steps_.end() || !it->second.open_query) {
+    return {};
+  }
+  return open_queries_.at(*it->second.open_query).claims;
+}
+
+Resources AdviceTracker::ClaimedOn(const WorkerBoot& worker) const {
+  const auto it = claimed_.find(worker);
+  return it == claimed_.end() ? Resources() : it->second;
+}
+
+void AdviceTracker::AddClaims(const OpenQuery& query) {
+  for (const CapacityClaim& claim : query.claims) {
+    claimed_[claim.worker] += claim.amount;
+  }
+}
+
+void AdviceTracker::RemoveClaims(const OpenQuery& query) {
+  for (const CapacityClaim& claim : query.claims) {
+    const auto it = claimed_.find(claim.worker);
+    it->second -= claim.amount;
+    if (it->second == Resources()) {
+      claimed_.erase(it);
+    }
+  }
+}
+
+double AdviceTracker::PermittedShare(const QueueId& queue) const {
+  const auto it = permitted_shares_.find(queue);
+  return it == permitted_shares_.end() ? kInitialPermittedShare : it->second;
 }
 
 bool AdviceTracker::HasAnswer(const StepKey& step) const {
@@ -119,7 +159,7 @@
   for (const AdviceRequest& request : requests) {
     StepAdvice& advice = steps_[request.step];
     const bool is_unneeded = !request.has_capacity && !advice.answered.empty();
-    if (advice.is_pending || now < advice.next_query_at || is_unneeded) {
+    if (advice.open_query || now < advice.next_query_at || is_unneeded) {
       continue;
     }
     const auto workers = WorkersToQuery(request, advice, now);
@@ -138,10 +178,15 @@
     querying_hosts_.insert(assignment.host);
     std::ranges::transform(
         workers, std::back_inserter(assignment.query.workers), &WorkerBoot::id);
-    advice.is_pending = true;
+    advice.open_query = last_id_;
     open_queries_[last_id_] = {
-        assignment.host, request.step, workers,
-        std::chrono::milliseconds(request.policy.valid_ms)};
+        assignment.host,
+        request.step,
+        request.queue,
+        workers,
+        std::chrono::milliseconds(request.policy.valid_ms),
+        request.claims};
+    AddClaims(open_queries_[last_id_]);
     assigned.push_back(std::move(assignment));
   }
   return assigned;
@@ -184,12 +229,14 @@
   }
   const OpenQuery& query = node.mapped();
   querying_hosts_.erase(query.host);
+  RemoveClaims(query);
   const auto step = steps_.find(query.step);
   if (step == steps_.end()) {
     return;
   }
   StepAdvice& advice = step->second;
-  advice.is_pending = false;
+  advice.open_query.reset();
+  LearnPermittedShare(query, advice, permits.size());
   for (const WorkerBoot& worker : query.workers) {
     advice.answered[worker.id] = worker;
     advice.allowed.erase(worker.id);
@@ -201,16 +248,36 @@
   }
 }
 
+// Renewals of tickets say nothing about workers that are still unknown.
+void AdviceTracker::LearnPermittedShare(const OpenQuery& query,
+                                        const StepAdvice& advice,
+                                        size_t permitted) {
+  const bool is_renewal =
+      std::ranges::any_of(query.workers, [&](const WorkerBoot& worker) {
+        return advice.allowed.contains(worker.id);
+      });
+  if (is_renewal || query.workers.empty()) {
+    return;
+  }
+  const double share = std::max(kMinPermittedShare,
+                                static_cast<double>(permitted) /
+                                    static_cast<double>(query.workers.size()));
+  const auto it =
+      permitted_shares_.try_emplace(query.queue, kInitialPermittedShare).first;
+  it->second += kAnswerWeight * (share - it->second);
+}
+
 void AdviceTracker::OnFailure(AdviceQueryId id, base::Instant now) {
   const auto node = open_queries_.extract(id);
   if (node.empty()) {
     return;
   }
   querying_hosts_.erase(node.mapped().host);
+  RemoveClaims(node.mapped());
   backoff_until_[node.mapped().host] = now + kHostBackoff;
   const auto step = steps_.find(node.mapped().step);
   if (step != steps_.end()) {
-    step->second.is_pending = false;
+    step->second.open_query.reset();
     step->second.next_query_at = now + kRetryDelay;
   }
 }
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -208,6 +208,7 @@
       info.boot == worker.info.boot && worker.info.is_draining;
   if (info.boot != worker.info.boot) {
     changes_.has_worker_changes = true;
+    ++worker_set_version_;
     EndAllRuns(worker);
     worker.end_cursor = 0;
   }
@@ -244,6 +245,7 @@
     return;
   }
   changes_.has_worker_changes = true;
+  ++worker_set_version_;
   EndAllRuns(it->second);
   workers_.erase(it);
 }
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -1,8 +1,9 @@
-// Orders the waiting steps and chooses workers for their tasks.
+// Makes a plan of all steps and chooses workers for their tasks.
 
 #include "planner.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 #include <iterator>
@@ -11,26 +12,12 @@
 namespace sassafras::jobs {
 namespace {
 
-// Advice on the successors of a step with an estimate up to this is requested
-// as soon as all its tasks are running or done.
-constexpr int64_t kShortStepMs = 1000;
 // Queues with a stretch of at most this leave little slack and prefer fast
 // workers.
 constexpr double kUrgentStretch = 2.5;
 
-// Whether the steps that `step` depends on will be done soon enough that
-// tickets requested now would still be valid.
-bool IsNearlyReady(const JobSpec& spec,
-                   const std::vector<StepRecord>& steps,
-                   uint32_t step) {
-  return std::ranges::all_of(spec.steps[step].after, [&](uint32_t earlier) {
-    const StepRecord& record = steps[earlier];
-    const size_t done = record.done;
-    const bool is_running = done + record.open == record.tasks.size();
-    return is_running && (2 * done >= record.tasks.size() ||
-                          spec.steps[earlier].estimate_ms <= kShortStepMs);
-  });
-}
+constexpr std::array kResourceKinds = {
+    &Resources::cpu_milli, &Resources::mem_mb, &Resources::accelerators};
 
 // Ranks workers by speed; the lowest rank is best. Steps with little slack
 // prefer fast workers, other steps leave the fast workers to them.
@@ -88,7 +75,7 @@
 
 bool HasFreeCapacity(const WaitingStep& step, const Candidate& worker) {
   const bool is_closed =
-      worker.is_reserved ||
+      worker.is_reserved || worker.is_unusable ||
       (worker.job_on_trial && *worker.job_on_trial != step.key.job);
   if (is_closed || !step.spec->Charge().Fits(worker.free_capacity)) {
     return false;
@@ -112,25 +99,30 @@
           -worker.free_capacity.cpu_milli};
 }
 
-size_t CountFitting(const WaitingStep& step, Resources free_capacity) {
+size_t CountFitting(const WaitingStep& step, const Resources& free_capacity) {
   const Resources charge = step.spec->Charge();
-  size_t fitting = 0;
-  while (fitting < step.spec->count && charge.Fits(free_capacity)) {
-    free_capacity -= charge;
-    ++fitting;
+  if (!charge.Fits(free_capacity)) {
+    return 0;
+  }
+  auto fitting = static_cast<int64_t>(step.spec->count);
+  for (const auto resource : kResourceKinds) {
+    if (charge.*resource > 0) {
+      fitting = std::min(fitting, free_capacity.*resource / charge.*resource);
+    }
   }
-  return fitting;
+  return static_cast<size_t>(fitting);
 }
 
 Planner::Planner(const JobTable& table,
                  const AdviceTracker& advice,
-                 const SchedulerHistory& history,
-                 base::Instant now)
-    : table_(table), advice_(advice), history_(history), now_(now) {}
+                 const SchedulerHistory& history)
+    : table_(table), advice_(advice), history_(history) {}
 
-Plan Planner::Make(const PlanSources& sources) {
+Plan Planner::Make(const PlanSources& sources, base::Instant now) {
+  now_ = now;
   CollectSteps();
-  if (waiting_steps_.empty() && upcoming_steps_.empty()) {
+  if (upcoming_steps_.empty() &&
+      std::ranges::all_of(waiting_steps_, &WaitingStep::awaits_advice)) {
     return {};
   }
   idle_advice_hosts_ = sources.idle_advice_hosts();
@@ -143,6 +135,7 @@
                         [this](auto& step) { PlaceSuspects(step); });
   for (const WaitingStep& step : waiting_steps_) {
     PlaceStep(step);
+    HoldClaims(step);
   }
   std::ranges::sort(upcoming_steps_, {}, &WaitingStep::Rank);
   for (const WaitingStep& step : upcoming_steps_) {
@@ -150,107 +143,14 @@
       RequestAdvice(step);
     }
   }
-  return std::move(plan_);
-}
-
-// --- collecting workers and steps ---
-
-void Planner::CollectWorkers(std::span<const WorkerRecord* const> usable) {
-  for (const WorkerRecord* record : usable) {
-    if (!record->info.is_draining &&
-        !history_.health.IsExcluded(record->info.boot, now_)) {
-      workers_.push_back(MakeCandidate(*record));
-    }
-  }
-  workers_by_id_.reserve(workers_.size());
-  for (Candidate& worker : workers_) {
-    workers_by_id_.emplace(worker.boot().id.str(), &worker);
-    pools_[worker.info().service].push_back(&worker);
-    Resources& most = most_free_[worker.info().service];
-    const Resources& free = worker.free_capacity;
-    most = {std::max(most.cpu_milli, free.cpu_milli),
-            std::max(most.mem_mb, free.mem_mb),
-            std::max(most.accelerators, free.accelerators)};
-  }
-  for (const WorkerBoot& boot : history_.reserved_workers) {
-    if (Candidate* worker = FindCandidate(boot)) {
-      worker->was_reserved = true;
-    }
-  }
+  return std::exchange(plan_, {});
 }
 
-Candidate Planner::MakeCandidate(const WorkerRecord& record) const {
-  Candidate candidate;
-  candidate.record = &record;
-  candidate.free_capacity = record.info.capacity - record.load.used;
-  candidate.is_on_probation = history_.health.IsOnProbation(record.info.boot);
-  candidate.speed = history_.speed.SpeedOf(record.info.boot);
-  candidate.has_fillers = record.load.fillers > 0;
-  candidate.has_user_serving_tasks = record.load.user_serving > 0;
-  if (history_.trials.HasSuspects()) {
-    candidate.job_on_trial = history_.trials.JobOnTrial(record.info.boot, now_);
-  }
-  return candidate;
-}
-
-void Planner::CollectSteps() {
-  for (const JobRecord* job : table_.active() | std::views::values) {
-    const Queue* queue = table_.FindQueue(job->queue);
-    if (queue == nullptr) {
-      continue;
-    }
-    for (const auto& [occurrence, steps] : job->occurrences) {
-      CollectSteps(*job, *queue, occurrence, steps);
-    }
-  }
-}
-
-void Planner::CollectSteps(const JobRecord& job,
-                           const Queue& queue,
-                           uint64_t occurrence,
-                           const std::vector<StepRecord>& steps) {
-  for (uint32_t n = 0; n < steps.size(); ++n) {
-    const StepRecord& record = steps[n];
-    const StepSpec& spec = job.spec.steps[n];
-    const size_t waiting = record.tasks.size() - record.done - record.open;
-    const bool may_start = spec.is_gang ? record.open == 0 : waiting > 0;
-    if (record.IsDone() || !may_start) {
-      continue;
-    }
-    const bool is_ready = IsStepReady(job.spec, steps, n);
-    if (!is_ready &&
-        !(queue.advice.is_required && IsNearlyReady(job.spec, steps, n))) {
-      continue;
-    }
-    WaitingStep step{&job, &queue, &spec, &record, {job.id, occurrence, n}};
-    const bool is_known =
-        queue.advice.is_required && advice_.HasAnswer(step.key);
-    const bool awaits_advice =
-        queue.advice.is_required && !is_known && advice_.HasOpenQuery(step.key);
-    if (awaits_advice || (!is_ready && is_known)) {
-      continue;
-    }
-    step.due = DueTimeOf(step);
-    (is_ready ? waiting_steps_ : upcoming_steps_).push_back(std::move(step));
-  }
-}
-
-// Long-running and recurring work has no time at which it is of no use.
-DueTime Planner::DueTimeOf(const WaitingStep& step) const {
-  const auto it = history_.timings.find(step.job->id);
-  if (it == history_.timings.end()) {
-    return {now_, false};
-  }
-  DueTime due = it->second.DueTimeOf(*step.queue, step.key.step, now_);
-  const bool stays_useful =
-      step.spec->is_lasting || step.job->spec.IsRecurring();
-  due.is_missed &= !stays_useful;
-  return due;
-}
-
-// --- placing ---
-
 void Planner::PlaceStep(const WaitingStep& step) {
+  if (step.awaits_advice) {
+    plan_.waiting.push_back({step.key, WaitReason::kQueryOpen});
+    return;
+  }
   const Pool eligible = EligibleWorkers(step);
   const size_t before = plan_.starts.size();
   if (step.spec->is_gang) {
@@ -258,15 +158,21 @@
   } else {
     PlaceTasks(step, eligible);
   }
-  const size_t wanted =
-      step.record->tasks.size() - step.record->done - step.record->open;
-  if (plan_.starts.size() - before + step.suspects_placed >= wanted) {
+  if (plan_.starts.size() - before + step.suspects_placed >=
+      step.MissingTasks()) {
     return;
   }
   const bool is_unplaced = plan_.starts.size() == before;
-  plan_.steps_without_room += is_unplaced && !eligible.empty() ? 1 : 0;
+  if (is_unplaced && !eligible.empty()) {
+    ++plan_.steps_without_room;
+    best_without_room_ =
+        std::min(best_without_room_.value_or(step.Class()), step.Class());
+  }
   const WaitReason reason = RequestAdviceIfNeeded(step);
   plan_.waiting.push_back({step.key, reason});
+  if (!IsHardToPlace(step, eligible) && !eligible.empty()) {
+    return;
+  }
   // Capacity must not go to other work while tickets are being renewed.
   Pool permitted = PermittedWorkers(step);
   if (!permitted.empty() && IsHardToPlace(step, permitted)) {
@@ -318,8 +224,15 @@
 }
 
 bool Planner::MayFitSomewhere(const WaitingStep& step) const {
+  const Resources charge = step.spec->Charge();
+  const auto needs = needs_without_room_.find(step.queue->service);
+  if (needs != needs_without_room_.end() &&
+      std::ranges::any_of(needs->second,
+                          [&](auto& need) { return need.Fits(charge); })) {
+    return false;
+  }
   const auto it = most_free_.find(step.queue->service);
-  return it != most_free_.end() && step.spec->Charge().Fits(it->second);
+  return it != most_free_.end() && charge.Fits(it->second);
 }
 
 void Planner::PlaceTasks(const WaitingStep& step, const Pool& eligible) {
@@ -372,6 +285,18 @@
   return best;
 }
 
+void Planner::HoldClaims(const WaitingStep& step) {
+  const Resources charge = step.spec->Charge();
+  for (const CapacityClaim& claim : advice_.ClaimsOf(step.key)) {
+    Candidate* worker = FindCandidate(claim.worker);
+    for (size_t n = 0; worker != nullptr && n < claim.tasks; ++n) {
+      if (charge.Fits(worker->free_capacity)) {
+        worker->free_capacity -= charge;
+      }
+    }
+  }
+}
+
 // Reserves for the step the eligible workers with the most free capacity, which
 // will be able to run it soonest, so that steps of lower rank don't use them.
 // At most half of the pool is reserved. A worker that runs a task of the step
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -32,11 +32,14 @@
 // State of one worker while a plan is made.
 struct Candidate {
   const WorkerRecord* record = nullptr;
+  // What is left by runs and by the claims of steps of higher rank.
   Resources free_capacity;
-  // Part of `free_capacity` claimed by advice requests of this plan.
+  // Part of `free_capacity` claimed by advice requests of this plan whose
+  // claims don't keep other work away.
   Resources claimed_for_advice;
   bool is_on_probation = false;  // see WorkerHealth::IsOnProbation
   SpeedClass speed = SpeedClass::kNormal;
+  bool is_unusable = false;  // has become so since the last plan of all steps
   bool is_reserved = false;  // reserved for a step of higher rank
   // Reserved in the last plan, and so perhaps in this one for a step that is
   // placed later.
@@ -57,6 +60,14 @@
 
 using Pool = std::vector<Candidate*>;
 
+// Steps of a lower class are served first.
+struct ServiceClass {
+  bool is_missed = false;
+  uint32_t priority = 0;
+
+  friend auto operator<=>(const ServiceClass&, const ServiceClass&) = default;
+};
+
 // A step with tasks to start. Steps are served in the order of Rank().
 struct WaitingStep {
   const JobRecord* job = nullptr;
@@ -65,11 +76,17 @@
   const StepRecord* record = nullptr;
   StepKey key;
   DueTime due;
+  bool is_ready = false;       // the steps that it depends on are done
+  bool awaits_advice = false;  // the first query about it is in flight
   size_t suspects_placed = 0;  // tasks that this plan starts in a trial
 
+  // Number of tasks that neither run nor are done.
+  size_t MissingTasks() const {
+    return record->tasks.size() - record->done - record->open;
+  }
+  ServiceClass Class() const { return {due.is_missed, queue->priority}; }
   auto Rank() const {
-    return std::tuple(due.is_missed, queue->priority, due.at, job->order,
-                      key.step);
+    return std::tuple(Class(), due.at, job->order, key.step);
   }
 };
 
@@ -102,7 +119,7 @@
 PlacementCost CostOf(const WaitingStep& step, const Candidate& worker);
 // Returns how many tasks of the step fit into `free_capacity`, at most the
 // step's count.
-size_t CountFitting(const WaitingStep& step, Resources free_capacity);
+size_t CountFitting(const WaitingStep& step, const Resources& free_capacity);
 
 // Workers on which each task of a job failed or was a straggler.
 using FailedOn =
@@ -119,16 +136,21 @@
   const std::map<StepKey, base::Instant>& next_advice_search;
 };
 
-// Used for one plan. Not thread-safe. Keeps references to the constructor
-// arguments.
+// Makes one plan of all steps, and after it plans of a few steps. Not
+// thread-safe. Keeps references to the table, the tracker and what `history`
+// refers to.
 class Planner {
  public:
   Planner(const JobTable& table,
           const AdviceTracker& advice,
-          const SchedulerHistory& history,
-          base::Instant now);
+          const SchedulerHistory& history);
 
-  Plan Make(const PlanSources& sources);
+  // Plans all steps.
+  Plan Make(const PlanSources& sources, base::Instant now);
+  // Plans only `steps`, with the workers that Make() collected.
+  Plan MakeFor(const std::set<StepKey>& steps,
+               const PlanSources& sources,
+               base::Instant now);
 
  private:
   // A worker that an advice request may name.
@@ -145,6 +167,16 @@
                     const Queue& queue,
                     uint64_t occurrence,
                     const std::vector<StepRecord>& steps);
+  void CollectStep(const JobRecord& job,
+                   const Queue& queue,
+                   uint64_t occurrence,
+                   const std::vector<StepRecord>& steps,
+                   uint32_t n);
+  void CollectStep(const StepKey& key);
+  // Whether the step can be planned without a look at the other steps.
+  bool IsIndependent(const WaitingStep& step) const;
+  // Updates the workers on which the step may start to the table's state.
+  void RefreshWorkers(const WaitingStep& step, const PlanSources& sources);
   DueTime DueTimeOf(const WaitingStep& step) const;
 
   void PlaceSuspects(WaitingStep& step);
@@ -162,7 +194,8 @@
                     std::span<const WorkerBoot* const> boots);
   Candidate* FindCandidate(const WorkerBoot& boot);
   const Pool& PoolOf(const WaitingStep& step);
-  // Whether some worker of the pool may have room for a task of the step.
+  // Whether some worker of the pool may have room for a task of the step, as
+  // far as this plan has found out.
   bool MayFitSomewhere(const WaitingStep& step) const;
   void PlaceTasks(const WaitingStep& step, const Pool& eligible);
   void PlaceGang(const WaitingStep& step, const Pool& eligible);
@@ -174,6 +207,9 @@
   Candidate* ChooseWorker(const WaitingStep& step,
                           const TaskKey& task,
                           const Pool& eligible) const;
+  // Keeps the capacity that the step's open query has claimed from the steps
+  // that are placed later.
+  void HoldClaims(const WaitingStep& step);
   void Reserve(const WaitingStep& step, Pool eligible);
 
   // Returns why the step has to wait.
@@ -193,7 +229,14 @@
   std::vector<AdviceCandidate> UnknownCandidates(const WaitingStep& step);
   void AddAdviceRequest(const WaitingStep& step,
                         std::vector<AdviceCandidate> candidates,
-                        size_t claimed);
+                        size_t claimed,
+                        double permitted_share);
+  // Asks where most of the step's tasks are likely to be placed by the answer.
+  void RequestTaskAdvice(const WaitingStep& step);
+  void RequestGangAdvice(const WaitingStep& step);
+  // Asks about a step that nothing is known about, without capacity for it.
+  void RequestEarlyAdvice(const WaitingStep& step,
+                          std::vector<AdviceCandidate> unknown);
   // Whether the permitted workers could run the gang if they were empty.
   static bool HasPermittedCapacity(const WaitingStep& step,
                                    std::span<const AdviceCandidate> permitted);
@@ -201,9 +244,12 @@
 
   const JobTable& table_;
   const AdviceTracker& advice_;
-  const SchedulerHistory& history_;
-  const base::Instant now_;
-  // Sorted by id; not resized after CollectWorkers.
+  const SchedulerHistory history_;
+  base::Instant now_;  // of the plan that is being made
+  // The table's when the workers were collected; none if they weren't yet.
+  std::optional<uint64_t> worker_set_version_;
+  // Sorted by id; not resized after CollectWorkers. Valid while the table has
+  // the version above.
   std::vector<Candidate> workers_;
   std::map<wire::ServiceId, Pool> pools_;  // points into `workers_`
   std::unordered_map<std::string_view, Candidate*> workers_by_id_;
@@ -216,6 +262,10 @@
   size_t idle_advice_hosts_ = 0;
   // Requests for steps without enough free capacity.
   size_t early_requests_ = 0;
+  // Needs of tasks for which a look at a whole pool found no room.
+  std::map<wire::ServiceId, std::vector<Resources>> needs_without_room_;
+  // The best class of a step that the plan of all steps found no room for.
+  std::optional<ServiceClass> best_without_room_;
   Plan plan_;
 };
 
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -30,8 +30,7 @@
 constexpr double kEarlyRenewalShare = 0.5;
 
 size_t CountWorkersToName(const WaitingStep& step) {
-  const size_t tasks =
-      step.record->tasks.size() - step.record->done - step.record->open;
+  const size_t tasks = step.MissingTasks();
   return step.spec->is_gang
              ? std::clamp(kWorkersPerTask * tasks, kMinWorkersPerGangRequest,
                           kMaxWorkersPerGangRequest)
@@ -69,14 +68,43 @@
 
 // Requests advice only where the answer can be used, because tickets expire
 // soon and every query occupies a host. Capacity for which advice is requested
-// counts as taken for requests of lower rank. A few steps may request advice
+// counts as taken for steps of lower rank. A few steps may request advice
 // without free capacity, to learn early which workers they may use.
 void Planner::RequestAdvice(const WaitingStep& step) {
+  if (step.spec->is_gang) {
+    RequestGangAdvice(step);
+  } else {
+    RequestTaskAdvice(step);
+  }
+}
+
+void Planner::RequestTaskAdvice(const WaitingStep& step) {
   std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
-  const size_t needed = step.spec->is_gang ? step.spec->count : 1;
+  const size_t wanted = step.MissingTasks();
+  const size_t fitting = CountFittingTasks(permitted);
+  std::vector<AdviceCandidate> unknown;
+  if (fitting < wanted && IsAdviceSearchDue(step, permitted)) {
+    unknown = UnknownCandidates(step);
+  }
+  const double share = advice_.PermittedShare(step.job->queue);
+  const double likely = share * static_cast<double>(CountFittingTasks(unknown));
+  if (likely > static_cast<double>(fitting)) {
+    AddAdviceRequest(step, std::move(unknown), wanted, share);
+  } else if (fitting > 0) {
+    AddAdviceRequest(step, std::move(permitted), std::min(wanted, fitting), 1);
+  } else if (permitted.empty()) {
+    RequestEarlyAdvice(step, std::move(unknown));
+  } else {
+    plan_.steps_without_query.push_back(step.key);
+  }
+}
+
+void Planner::RequestGangAdvice(const WaitingStep& step) {
+  std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
+  const size_t needed = step.spec->count;
   const size_t fitting = CountFittingTasks(permitted);
   if (fitting >= needed || IsNearlyPlaceable(step, permitted, fitting)) {
-    AddAdviceRequest(step, std::move(permitted), std::min(needed, fitting));
+    AddAdviceRequest(step, std::move(permitted), std::min(needed, fitting), 1);
     return;
   }
   if (!IsAdviceSearchDue(step, permitted)) {
@@ -84,24 +112,30 @@
   }
   std::vector<AdviceCandidate> unknown = UnknownCandidates(step);
   const size_t unknown_fitting = CountFittingTasks(unknown);
-  const bool needs_permits = step.spec->is_gang && !permitted.empty() &&
-                             !HasPermittedCapacity(step, permitted);
+  const bool needs_permits =
+      !permitted.empty() && !HasPermittedCapacity(step, permitted);
   if (needs_permits && !unknown.empty()) {
     // Waiting would not help: even if they were empty, the permitted workers
     // could not run the gang.
-    AddAdviceRequest(step, std::move(unknown), 0);
+    AddAdviceRequest(step, std::move(unknown), 0, 1);
     plan_.advice_requests.back().has_capacity = true;
   } else if (unknown_fitting > 0 && fitting + unknown_fitting >= needed) {
-    AddAdviceRequest(step, std::move(unknown), needed);
-  } else if (permitted.empty() && !unknown.empty() &&
-             early_requests_ < kMaxEarlyRequests) {
-    ++early_requests_;
-    AddAdviceRequest(step, std::move(unknown), 0);
-  } else if (!permitted.empty()) {
+    AddAdviceRequest(step, std::move(unknown), needed, 1);
+  } else if (permitted.empty()) {
+    RequestEarlyAdvice(step, std::move(unknown));
+  } else {
     plan_.steps_without_query.push_back(step.key);
   }
 }
 
+void Planner::RequestEarlyAdvice(const WaitingStep& step,
+                                 std::vector<AdviceCandidate> unknown) {
+  if (!unknown.empty() && early_requests_ < kMaxEarlyRequests) {
+    ++early_requests_;
+    AddAdviceRequest(step, std::move(unknown), 0, 1);
+  }
+}
+
 bool Planner::IsNearlyPlaceable(const WaitingStep& step,
                                 std::span<const AdviceCandidate> permitted,
                                 size_t fitting) const {
@@ -119,7 +153,7 @@
     const WaitingStep& step,
     std::span<const AdviceCandidate> permitted) const {
   if (permitted.empty()) {
-    return true;
+    return early_requests_ < kMaxEarlyRequests || MayFitSomewhere(step);
   }
   const auto it = history_.next_advice_search.find(step.key);
   if (it != history_.next_advice_search.end() && now_ < it->second) {
@@ -161,6 +195,11 @@
       candidates.push_back(ToAdviceCandidate(step, worker));
     }
   }
+  const bool took_all = answered.empty() && step.spec->required_label.empty() &&
+                        step.spec->max_per_worker == 0;
+  if (took_all && CountFittingTasks(candidates) == 0) {
+    needs_without_room_[step.queue->service].push_back(step.spec->Charge());
+  }
   return candidates;
 }
 
@@ -183,10 +222,13 @@
 }
 
 // Requests advice on the best candidates and claims capacity for `claimed`
-// tasks on them.
+// tasks on them. Only single tasks of a step that is ready keep their claims
+// from other work until the answer comes: a gang's query takes too long, and a
+// step that isn't ready couldn't use the capacity.
 void Planner::AddAdviceRequest(const WaitingStep& step,
                                std::vector<AdviceCandidate> candidates,
-                               size_t claimed) {
+                               size_t claimed,
+                               double permitted_share) {
   using Ranked = std::pair<std::pair<bool, PlacementCost>, AdviceCandidate>;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
@@ -197,12 +239,24 @@
   std::ranges::partial_sort(ranked, ranked.begin() + static_cast<long>(named),
                             {}, &Ranked::first);
   ranked.resize(named);
-  AdviceRequest request{step.key, step.queue->advice, {}, claimed > 0};
+  AdviceRequest request{step.key, step.job->queue, step.queue->advice,
+                        {},       claimed > 0,     {}};
+  const bool is_held = step.is_ready && !step.spec->is_gang;
+  double missing = static_cast<double>(claimed) / permitted_share;
   for (const auto& [cost, it] : ranked) {
     request.candidates.push_back(it.worker->boot());
-    for (size_t n = std::min(claimed, it.fitting); n > 0; --n) {
-      it.worker->claimed_for_advice += step.spec->Charge();
-      --claimed;
+    CapacityClaim claim{it.worker->boot(), 0, {}};
+    for (; claim.tasks < it.fitting && missing > 0; --missing) {
+      ++claim.tasks;
+      claim.amount += step.spec->Charge();
+      if (is_held) {
+        it.worker->free_capacity -= step.spec->Charge();
+      } else {
+        it.worker->claimed_for_advice += step.spec->Charge();
+      }
+    }
+    if (is_held && claim.tasks > 0) {
+      request.claims.push_back(std::move(claim));
     }
   }
   plan_.advice_requests.push_back(std::move(request));
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -16,6 +16,9 @@
 
 }  // namespace
 
+Scheduler::Scheduler() = default;
+Scheduler::~Scheduler() = default;
+
 void Scheduler::OnJob(const JobRecord& job,
                       const Queue* queue,
                       base::Instant now) {
@@ -91,7 +94,8 @@
                                  failed_on_,
                                  reserved_workers_,
                                  next_advice_search_};
-  Plan plan = Planner(table, advice, history, now).Make(sources);
+  planner_ = std::make_unique<Planner>(table, advice, history);
+  Plan plan = planner_->Make(sources, now);
   reserved_workers_ = plan.reserved_workers;
   for (const StepKey& step : plan.steps_without_query) {
     next_advice_search_[step] = now + kAdviceSearchPause;
@@ -99,4 +103,10 @@
   return plan;
 }
 
+Plan Scheduler::MakePlanFor(const std::set<StepKey>& steps,
+                            const PlanSources& sources,
+                            base::Instant now) {
+  return planner_ == nullptr ? Plan() : planner_->MakeFor(steps, sources, now);
+}
+
 }  // namespace sassafras::jobs
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -8,94 +8,13 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "table_fixture.h"
+#include "scheduler_fixture.h"
 
 namespace sassafras::jobs {
 namespace {
 
 using std::chrono::milliseconds;
 
-base::Instant At(int64_t ms) {
-  return base::Instant(milliseconds(100'000 + ms));
-}
-
-constexpr size_t kAdviceHosts = 4;
-const std::vector<wire::EntryId> kHosts = {
-    wire::EntryId("a"), wire::EntryId("b"), wire::EntryId("c"),
-    wire::EntryId("d")};
-
-PlanSources Sources(const JobTable& table,
-                    const std::set<wire::WorkerId>& usable,
-                    size_t hosts = kAdviceHosts) {
-  PlanSources sources;
-  sources.usable_workers = [&] {
-    std::vector<const WorkerRecord*> records;
-    for (const wire::WorkerId& id : usable) {
-      records.push_back(table.FindWorker(id));
-    }
-    return records;
-  };
-  sources.idle_advice_hosts = [hosts] { return hosts; };
-  return sources;
-}
-
-class SchedulerTest : public testing::Test {
- protected:
-  void AddWorker(const WorkerInfo& info) {
-    fixture_.AddWorker(info);
-    usable_.insert(info.boot.id);
-  }
-  void AddJob(const std::string& id,
-              std::vector<StepSpec> steps,
-              int64_t accepted_ms = 0) {
-    fixture_.AddJob(id, std::move(steps));
-    const JobRecord& job = *fixture_.table.FindJob(wire::JobId(id));
-    scheduler_.OnJob(job, fixture_.table.FindQueue(job.queue), At(accepted_ms));
-  }
-  void RequireAdvice() {
-    Batch batch;
-    batch.manifests = {fixture_.table.manifest()};
-    ++batch.manifests[0].version;
-    batch.manifests[0].queues[0].advice = {true, 500, 8, 2000};
-    fixture_.table.Apply(batch);
-  }
-  // Sends the first request of the plan and permits all workers that it names.
-  void GrantPermits(const Plan& plan, int64_t answered_ms) {
-    const auto assigned =
-        advice_.AssignQueries(plan.advice_requests, kHosts, At(answered_ms));
-    ASSERT_FALSE(assigned.empty());
-    std::vector<Permit> permits;
-    for (const wire::WorkerId& worker : assigned[0].query.workers) {
-      permits.push_back({worker, "ticket"});
-    }
-    advice_.OnAnswer(assigned[0].query.id, permits, At(answered_ms));
-  }
-  void StartAll(const Plan& plan) {
-    for (const StartRun& start : plan.starts) {
-      ASSERT_TRUE(fixture_.Start(start.task, start.run, start.worker));
-    }
-  }
-  // Adds a job that occupies the whole worker.
-  void FillWorker(const std::string& worker) {
-    const std::string job = "fills-" + worker;
-    AddJob(job, {Step(16)});
-    for (uint32_t n = 0; n < 16; ++n) {
-      ASSERT_TRUE(fixture_.Start(Task(job, 0, n), 1, Boot(worker)));
-    }
-  }
-  Plan MakePlan(int64_t ms = 1) {
-    return scheduler_.MakePlan(fixture_.table, advice_,
-                               Sources(fixture_.table, usable_, hosts_),
-                               At(ms));
-  }
-
-  TableFixture fixture_;
-  std::set<wire::WorkerId> usable_;
-  size_t hosts_ = kAdviceHosts;  // that can send an advice query
-  AdviceTracker advice_;
-  Scheduler scheduler_;
-};
-
 TEST_F(SchedulerTest, UsesOnlyWorkersWithFreeCapacity) {
   AddWorker(Worker("w"));
   AddJob("j", {Step(20)});
