--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -99,7 +99,14 @@
   void OpenSession(const jobs::WorkerRecord& record);
   void SyncSessions();
   void Flush();
+  enum class PlanScope { kAllSteps, kUrgentSteps };
   void PlanStarts();
+  // Plans `urgent_steps_` while a plan of all steps isn't due yet.
+  void PlanUrgentSteps();
+  void UsePlan(jobs::Plan plan, PlanScope scope, base::Instant begin);
+  jobs::PlanSources MakePlanSources() const;
+  void AddUrgentSteps(const jobs::JobRecord& job, uint64_t occurrence);
+  void OnEndRecorded(const jobs::EndRun& end);
   void LogWaitingSteps(std::span<const jobs::WaitingReason> waiting);
   std::vector<const jobs::WorkerRecord*> UsableWorkers() const;
   bool IsAboutToChange(const jobs::WorkerBoot& worker) const;
@@ -161,7 +168,10 @@
   std::vector<RecordDone> batch_callbacks_;  // called once `batch_` is recorded
   bool is_recording_ = false;                // at most one batch is in flight
   bool needs_plan_ = true;   // the state changed since the last plan
-  base::Instant next_plan_;  // not earlier than this
+  base::Instant next_plan_;  // of all steps: not earlier than this
+  // Steps that have become ready, or for which an answer has come, since the
+  // last plan.
+  std::set<jobs::StepKey> urgent_steps_;
   base::Instant next_waiting_log_;
   // When the oldest answer arrived that no plan has used yet.
   std::optional<base::Instant> first_unused_answer_;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -15,12 +15,9 @@
 
 using telemetry::Decision;
 
-// Added to the placement service's own expected time to answer a query.
-constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(600);
 // After a plan, this multiple of the time that it took belongs to other work,
 // so that a leader with a long backlog still hears its workers.
-constexpr int kPlanPause = 2;
-constexpr auto kWaitingLogPause = std::chrono::seconds(2);
+constexpr int kPlanPause = 4;
 
 }  // namespace
 
@@ -152,6 +149,8 @@
     PlanStarts();
     const base::Instant end = context_.Now();
     next_plan_ = end + kPlanPause * (end - now);
+  } else if (!urgent_steps_.empty()) {
+    PlanUrgentSteps();
   }
   if (batch_.IsEmpty()) {
     return;
@@ -191,6 +190,8 @@
                         std::vector<RecordDone> callbacks) {
   is_recording_ = false;
   if (result == RecordResult::kRecorded) {
+    std::ranges::for_each(batch.ends,
+                          [this](auto& end) { OnEndRecorded(end); });
     for (const auto& [worker, cursor] : batch.cursors) {
       if (jobs::WorkerSession* session = FindSession(worker)) {
         session->OnRecorded(cursor);
@@ -231,6 +232,7 @@
     const jobs::JobRecord* job = context_.table().FindJob(id);
     Decision("job").With("job", id).With("queue", job->queue).Write();
     scheduler_.OnJob(*job, context_.table().FindQueue(job->queue), now);
+    AddUrgentSteps(*job, 0);
   }
   std::ranges::for_each(changes.started,
                         [this](auto& start) { Dispatch(start); });
@@ -269,81 +271,6 @@
   }
 }
 
-void Leader::PlanStarts() {
-  const base::Instant now = context_.Now();
-  jobs::PlanSources sources;
-  sources.usable_workers = [this] { return UsableWorkers(); };
-  sources.idle_advice_hosts = [this, now] {
-    return advice_.CountIdleHosts(context_.LiveAdvisers(now), now);
-  };
-  jobs::Plan plan =
-      scheduler_.MakePlan(context_.table(), advice_, sources, now);
-  const base::Duration took = context_.Now() - now;
-  metrics_.plan_time.Observe(took);
-  Decision("plan")
-      .With("took_us", took)
-      .With("answer_waited_us", first_unused_answer_
-                                    ? now - *first_unused_answer_
-                                    : base::Duration{})
-      .With("workers", sessions_.size())
-      .With("jobs", context_.table().active().size())
-      .With("ready", plan.ready_steps)
-      .With("without_room", plan.steps_without_room)
-      .With("starts", plan.starts.size())
-      .With("queries", plan.advice_requests.size())
-      .With("queries_open", advice_.CountOpenQueries())
-      .Write();
-  first_unused_answer_.reset();
-  std::ranges::move(plan.starts, std::back_inserter(batch_.starts));
-  RequestAdvice(plan.advice_requests);
-  LogWaitingSteps(plan.waiting);
-}
-
-// Says now and then why steps that could run wait.
-void Leader::LogWaitingSteps(std::span<const jobs::WaitingReason> waiting) {
-  const base::Instant now = context_.Now();
-  if (now < next_waiting_log_) {
-    return;
-  }
-  next_waiting_log_ = now + kWaitingLogPause;
-  for (const jobs::WaitingReason& it : waiting) {
-    Decision("waiting")
-        .With("job", it.step.job)
-        .With("occurrence", it.step.occurrence)
-        .With("step", it.step.step)
-        .With("reason", nlohmann::json(it.reason).get<std::string>())
-        .Write();
-  }
-}
-
-// Sessions and records are both sorted by worker id, which allows a linear
-// merge. A session may briefly lack a record.
-std::vector<const jobs::WorkerRecord*> Leader::UsableWorkers() const {
-  const base::Instant now = context_.Now();
-  const auto& workers = context_.table().workers();
-  std::vector<const jobs::WorkerRecord*> usable;
-  auto record = workers.begin();
-  for (const auto& [id, session] : sessions_) {
-    while (record != workers.end() && record->first < id) {
-      ++record;
-    }
-    const bool is_recorded = record != workers.end() && record->first == id;
-    if (is_recorded && session.IsUsable(now) &&
-        !IsAboutToChange(session.boot())) {
-      usable.push_back(&record->second);
-    }
-  }
-  metrics_.workers_usable.Set(static_cast<double>(usable.size()));
-  return usable;
-}
-
-// Whether the next batch changes the description of the worker, which may then
-// have less capacity than the table says, or be draining.
-bool Leader::IsAboutToChange(const jobs::WorkerBoot& worker) const {
-  return std::ranges::any_of(batch_.workers,
-                             [&](auto& info) { return info.boot == worker; });
-}
-
 void Leader::AddDueOccurrences() {
   const base::WallMs wall = context_.WallNow();
   for (const auto* record : context_.table().active() | std::views::values) {
@@ -360,46 +287,6 @@
   }
 }
 
-void Leader::RequestAdvice(const std::vector<jobs::AdviceRequest>& requests) {
-  const auto queries = advice_.AssignQueries(
-      requests, context_.LiveAdvisers(context_.Now()), context_.Now());
-  for (const jobs::AssignedQuery& assigned : queries) {
-    metrics_.advice_queries.Add();
-    context_.QueryAdvice(
-        assigned.host, assigned.query, assigned.expected + kAdviceTimeoutMargin,
-        [weak = weak_from_this(), assigned, sent_at = context_.Now()](
-            const std::optional<std::vector<jobs::Permit>>& permits) {
-          if (const auto self = weak.lock()) {
-            self->OnAdvice(assigned, permits, sent_at);
-          }
-        });
-  }
-}
-
-void Leader::OnAdvice(const jobs::AssignedQuery& assigned,
-                      const std::optional<std::vector<jobs::Permit>>& permits,
-                      base::Instant sent_at) {
-  const base::Instant now = context_.Now();
-  Decision("advice")
-      .With("job", assigned.query.step.job)
-      .With("step", assigned.query.step.step)
-      .With("host", assigned.host)
-      .With("candidates", assigned.query.workers.size())
-      .With("permitted", permits ? static_cast<int64_t>(permits->size()) : -1)
-      .With("took_us", now - sent_at)
-      .With("expected_us", assigned.expected)
-      .Write();
-  first_unused_answer_ = first_unused_answer_.value_or(now);
-  if (permits) {
-    advice_.OnAnswer(assigned.query.id, *permits, now);
-  } else {
-    metrics_.advice_queries_failed.Add();
-    advice_.OnFailure(assigned.query.id, now);
-  }
-  needs_plan_ = true;
-  Flush();
-}
-
 void Leader::Tick() {
   RemoveLostWorkers();
   ProveSuspects();
--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -29,6 +29,10 @@
     jobs::OrderCall call;
     OrderDone done;
   };
+  struct SentQuery {
+    jobs::AdviceQuery query;
+    AdviceDone done;
+  };
   struct SentHold {
     jobs::WorkerInfo worker;
     jobs::HoldCall call;
@@ -54,11 +58,17 @@
     waiting_.emplace_back(std::move(batch), std::move(done));
   }
   WorkerLink& workers() override { return *this; }
-  std::vector<wire::EntryId> LiveAdvisers(base::Instant) override { return {}; }
+  // A plan asks for the advisers, which is when its time passes.
+  std::vector<wire::EntryId> LiveAdvisers(base::Instant) override {
+    now_ += plan_time;
+    return advisers;
+  }
   void QueryAdvice(const wire::EntryId&,
-                   const jobs::AdviceQuery&,
+                   const jobs::AdviceQuery& query,
                    base::Duration,
-                   AdviceDone) override {}
+                   AdviceDone done) override {
+    queries.push_back({query, std::move(done)});
+  }
   void Defer(std::function<void()> then) override {
     deferred_.push_back(std::move(then));
   }
@@ -139,6 +149,9 @@
 
   std::vector<SentOrder> orders;
   std::vector<SentHold> holds;
+  std::vector<SentQuery> queries;
+  std::vector<wire::EntryId> advisers;
+  milliseconds plan_time{0};
   std::shared_ptr<Leader> leader;
 
  private:
