--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -172,6 +172,7 @@
   // Steps that have become ready, or for which an answer has come, since the
   // last plan.
   std::set<jobs::StepKey> urgent_steps_;
+  bool has_freed_room_ = false;  // since the last plan
   base::Instant next_waiting_log_;
   // When the oldest answer arrived that no plan has used yet.
   std::optional<base::Instant> first_unused_answer_;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -149,7 +149,7 @@
     PlanStarts();
     const base::Instant end = context_.Now();
     next_plan_ = end + kPlanPause * (end - now);
-  } else if (!urgent_steps_.empty()) {
+  } else if (!urgent_steps_.empty() || has_freed_room_) {
     PlanUrgentSteps();
   }
   if (batch_.IsEmpty()) {
@@ -190,6 +190,7 @@
                         std::vector<RecordDone> callbacks) {
   is_recording_ = false;
   if (result == RecordResult::kRecorded) {
+    has_freed_room_ |= !batch.ends.empty();
     std::ranges::for_each(batch.ends,
                           [this](auto& end) { OnEndRecorded(end); });
     for (const auto& [worker, cursor] : batch.cursors) {
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -307,6 +307,11 @@
 // Slows down fillers on a worker where a long-running task misses its latency
 // target.
 void Leader::PaceFillers(jobs::WorkerSession& session) {
+  const jobs::WorkerRecord* record =
+      context_.table().FindWorker(session.boot().id);
+  if (record == nullptr || record->load.fillers == 0) {
+    return;
+  }
   std::vector<jobs::PacedRun> runs;
   for (const jobs::RunReport& row : session.running()) {
     const jobs::StepSpec* spec = FindStepSpec(row.task);
--- a/libs/jobcontrol/src/leader_plans.cc
+++ b/libs/jobcontrol/src/leader_plans.cc
@@ -67,6 +67,7 @@
       .Write();
   first_unused_answer_.reset();
   urgent_steps_.clear();
+  has_freed_room_ = false;
   std::ranges::move(plan.starts, std::back_inserter(batch_.starts));
   RequestAdvice(plan.advice_requests);
 }
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -52,7 +52,8 @@
 struct Plan {
   std::vector<StartRun> starts;
   size_t ready_steps = 0;  // steps with tasks that could start
-  // Ready steps that have valid tickets, but only on workers without room.
+  // Ready steps of which some tasks found no room on the workers that they may
+  // use.
   size_t steps_without_room = 0;
   std::vector<WaitingReason> waiting;
   std::vector<AdviceRequest> advice_requests;  // most urgent first
@@ -110,15 +111,19 @@
                 base::Instant now);
 
   // Plans only `steps`, which have just become ready or for which an answer has
-  // come, at a cost that depends neither on the backlog nor on the number of
-  // workers. Leaves to MakePlan() what must be weighed against other steps:
-  // gangs, trials, and steps of lower priority than one that the last plan
-  // found no room for. The table must contain the starts of earlier plans.
+  // come, and the steps of the highest class that the last plan of all steps
+  // found too little room for, at a cost that depends neither on the backlog
+  // nor on the number of workers. Leaves to MakePlan() what must be weighed
+  // against other steps: gangs, trials, and steps of lower priority than one
+  // that the last plan found no room for. The table must contain the starts of
+  // earlier plans.
   Plan MakePlanFor(const std::set<StepKey>& steps,
                    const PlanSources& sources,
                    base::Instant now);
 
  private:
+  void PauseSearches(const Plan& plan, base::Instant now);
+
   std::unique_ptr<Planner> planner_;          // of the last plan of all steps
   std::map<wire::JobId, JobTiming> timings_;  // of active jobs
   WorkerHealth health_;
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -162,11 +162,8 @@
       step.MissingTasks()) {
     return;
   }
-  const bool is_unplaced = plan_.starts.size() == before;
-  if (is_unplaced && !eligible.empty()) {
-    ++plan_.steps_without_room;
-    best_without_room_ =
-        std::min(best_without_room_.value_or(step.Class()), step.Class());
+  if (!eligible.empty()) {
+    NoteShortOfRoom(step);
   }
   const WaitReason reason = RequestAdviceIfNeeded(step);
   plan_.waiting.push_back({step.key, reason});
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -173,6 +173,8 @@
                    const std::vector<StepRecord>& steps,
                    uint32_t n);
   void CollectStep(const StepKey& key);
+  // Remembers that the tickets of the step are for workers without room.
+  void NoteShortOfRoom(const WaitingStep& step);
   // Whether the step can be planned without a look at the other steps.
   bool IsIndependent(const WaitingStep& step) const;
   // Updates the workers on which the step may start to the table's state.
@@ -264,8 +266,10 @@
   size_t early_requests_ = 0;
   // Needs of tasks for which a look at a whole pool found no room.
   std::map<wire::ServiceId, std::vector<Resources>> needs_without_room_;
-  // The best class of a step that the plan of all steps found no room for.
+  // The best class of a step that the plan of all steps found no room for, and
+  // the steps of that class that it couldn't place as a whole, by rank.
   std::optional<ServiceClass> best_without_room_;
+  std::vector<StepKey> short_of_room_;
   Plan plan_;
 };
 
--- a/libs/jobs/src/planner_urgent.cc
+++ b/libs/jobs/src/planner_urgent.cc
@@ -7,6 +7,12 @@
 #include "planner.h"
 
 namespace sassafras::jobs {
+namespace {
+
+// Steps short of room that each plan of a few steps tries again.
+constexpr size_t kMaxRetriedSteps = 32;
+
+}  // namespace
 
 Plan Planner::MakeFor(const std::set<StepKey>& steps,
                       const PlanSources& sources,
@@ -16,7 +22,10 @@
   upcoming_steps_.clear();
   needs_without_room_.clear();
   early_requests_ = 0;
-  std::ranges::for_each(steps, [this](auto& key) { CollectStep(key); });
+  std::set<StepKey> keys = steps;
+  keys.insert(short_of_room_.begin(), short_of_room_.end());
+  short_of_room_.clear();
+  std::ranges::for_each(keys, [this](auto& key) { CollectStep(key); });
   std::erase_if(waiting_steps_,
                 [this](const auto& step) { return !IsIndependent(step); });
   if (waiting_steps_.empty()) {
@@ -37,6 +46,19 @@
   return std::exchange(plan_, {});
 }
 
+void Planner::NoteShortOfRoom(const WaitingStep& step) {
+  ++plan_.steps_without_room;
+  const ServiceClass step_class = step.Class();
+  if (!best_without_room_ || step_class < *best_without_room_) {
+    best_without_room_ = step_class;
+    short_of_room_.clear();
+  }
+  if (step_class == *best_without_room_ &&
+      short_of_room_.size() < kMaxRetriedSteps) {
+    short_of_room_.push_back(step.key);
+  }
+}
+
 bool Planner::IsIndependent(const WaitingStep& step) const {
   return !step.awaits_advice && !step.spec->is_gang && !HasSuspects(step) &&
          (!best_without_room_ || step.Class() <= *best_without_room_);
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -97,16 +97,25 @@
   planner_ = std::make_unique<Planner>(table, advice, history);
   Plan plan = planner_->Make(sources, now);
   reserved_workers_ = plan.reserved_workers;
+  PauseSearches(plan, now);
+  return plan;
+}
+
+void Scheduler::PauseSearches(const Plan& plan, base::Instant now) {
   for (const StepKey& step : plan.steps_without_query) {
     next_advice_search_[step] = now + kAdviceSearchPause;
   }
-  return plan;
 }
 
 Plan Scheduler::MakePlanFor(const std::set<StepKey>& steps,
                             const PlanSources& sources,
                             base::Instant now) {
-  return planner_ == nullptr ? Plan() : planner_->MakeFor(steps, sources, now);
+  if (planner_ == nullptr) {
+    return {};
+  }
+  Plan plan = planner_->MakeFor(steps, sources, now);
+  PauseSearches(plan, now);
+  return plan;
 }
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/test/pool_simulation.cc
+++ b/libs/jobs/test/pool_simulation.cc
@@ -62,7 +62,8 @@
     AnswerQueries();
     if (now_ms_ >= next_plan_ms_) {
       PlanAllSteps();
-    } else if (now_ms_ >= next_commit_ms_ && !urgent_steps_.empty()) {
+    } else if (now_ms_ >= next_commit_ms_ &&
+               (!urgent_steps_.empty() || has_freed_room_)) {
       Use(scheduler_.MakePlanFor(urgent_steps_, Sources(), Now()));
     }
   }
@@ -159,6 +160,7 @@
     scheduler_.OnEnd(table_, batch.ends.back(), Now());
   }
   const Changes changes = table_.Apply(batch);
+  has_freed_room_ |= !batch.ends.empty();
   for (const EndRun& end : batch.ends) {
     AddUrgentSteps(end.task.step.job);
   }
@@ -201,6 +203,7 @@
 
 void PoolSimulation::Use(const Plan& plan) {
   urgent_steps_.clear();
+  has_freed_room_ = false;
   next_commit_ms_ = now_ms_ + options_.commit_ms;
   Batch batch;
   batch.starts = plan.starts;
--- a/libs/jobs/test/pool_simulation.h
+++ b/libs/jobs/test/pool_simulation.h
@@ -111,7 +111,10 @@
   int64_t now_ms_ = 0;
   int64_t next_plan_ms_ = 0;
   int64_t next_commit_ms_ = 0;
-  std::set<StepKey> urgent_steps_;  // since the last plan
+  // Since the last plan: steps that are ready or were answered, and whether
+  // any run has ended.
+  std::set<StepKey> urgent_steps_;
+  bool has_freed_room_ = false;
   uint64_t last_job_ = 0;
   size_t queries_ = 0;
   std::map<wire::JobId, SimulatedJob> jobs_;
