--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -2,6 +2,7 @@
 find_package(Threads REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS program_options)
 find_package(OpenSSL REQUIRED)
+find_package(mimalloc REQUIRED)
 if(NOT SASSAFRAS_DEPLOY)
   find_package(GTest REQUIRED)
   find_package(rapidcheck REQUIRED)
