--- a/libs/placement/src/parking.cc
+++ b/libs/placement/src/parking.cc
@@ -3,6 +3,7 @@
 #include "parking.h"
 
 #include <ranges>
+#include <utility>
 
 namespace sassafras::placement {
 
@@ -68,14 +69,13 @@
     return;
   }
   job.park_proposed = context.now;
-  const auto kind = why ? DecisionKind::kPark : DecisionKind::kUnpark;
-  context.plan.decisions.push_back({kind,
-                                    job.spec.owner,
-                                    {job.spec.id, 0},
-                                    {},
-                                    0,
-                                    context.now - job.waiting_since,
-                                    why.value_or("the job can run again")});
+  Decision decision;
+  decision.kind = why ? DecisionKind::kPark : DecisionKind::kUnpark;
+  decision.owner = job.spec.owner;
+  decision.task.job = job.spec.id;
+  decision.waited = context.now - job.waiting_since;
+  decision.why = why.value_or("the job can run again");
+  context.plan.decisions.push_back(std::move(decision));
   context.plan.parks.push_back({job.spec.id, why.value_or("")});
 }
 
--- a/libs/placement/test/run_property_test.cc
+++ b/libs/placement/test/run_property_test.cc
@@ -79,11 +79,12 @@
     if (stale_attempt.IsNone()) {
       continue;
     }
+    const wire::TaskId task{id, 0};
     cell.scheduler.Apply(
-        cell.now, TaskEnded{{id, 0}, stale_attempt, TaskOutcome::kDone, 1, ""});
-    cell.scheduler.Apply(
-        cell.now,
-        Usage{job.tasks[0].worker, {{{id, 0}, stale_attempt, kGpuCapacity}}});
+        cell.now, TaskEnded{task, stale_attempt, TaskOutcome::kDone, 1, ""});
+    Usage usage{job.tasks[0].worker, {}};
+    usage.samples.push_back({task, stale_attempt, kGpuCapacity});
+    cell.scheduler.Apply(cell.now, usage);
   }
 }
 
