--- a/libs/state/test/machine_jobs_test.cc
+++ b/libs/state/test/machine_jobs_test.cc
@@ -297,10 +297,9 @@
   cell.Submit(Spec("j", "skeem", JobKind::kBatch, 2, 4000));
   cell.Assign("j", 0, "w1");
   wire::OrderAttempts order;
-  order.items = {{{wire::JobId("j"), 0},
-                  wire::AttemptId(1),
-                  wire::AttemptOrder::kCheckpoint,
-                  "preempted"}};
+  const wire::TaskId task{wire::JobId("j"), 0};
+  order.items.push_back(
+      {task, wire::AttemptId(1), wire::AttemptOrder::kCheckpoint, "preempted"});
   EXPECT_EQ(cell.ApplyCommand(order).details["items"], nlohmann::json({"ok"}));
   EXPECT_EQ(cell.Assign("j", 1, "w1").code, ResultCode::kConflict);
   cell.ApplyCommand(cell.Report("j", 0, AttemptState::kStopped));
