--- a/review/standins/installation.py
+++ b/review/standins/installation.py
@@ -559,7 +559,7 @@
 
 def run_case(case, record_path):
     """Runs the coroutine `case(record)`, which returns whether the rule held.
-    Returns the exit status: 0 held, 1 broken, 2 couldn't run."""
+    Returns the exit status: 0 held, 1 broken, 2 couldn't run, whatever the cause."""
     record = Record(record_path)
 
     async def bounded():
@@ -567,7 +567,7 @@
 
     try:
         held = asyncio.run(bounded())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
         record.write("cannot-run", why=repr(error))
         return 2
     record.write("verdict", held=held)
