--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -215,7 +215,11 @@
   }
   needs_plan_ = true;
   std::ranges::for_each(callbacks, [&](auto& done) { done(result); });
-  if (result != RecordResult::kUnknown) {
+  // A replica refuses at once what it can't propose, because it has stepped
+  // down or is handing over its role. Proposing again from here would repeat
+  // that without an end and without a turn of the event loop; the next call or
+  // tick proposes again if this is still the leader.
+  if (result == RecordResult::kRecorded) {
     Flush();
   }
 }
--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -107,6 +107,12 @@
     leader->OnApplied(table_.Apply(*batch));
     done(RecordResult::kRecorded);
   }
+  // Refuses the oldest pending batch, as a replica that can't propose does.
+  void RefuseNext() {
+    const RecordDone done = std::move(waiting_.front().second);
+    waiting_.pop_front();
+    done(RecordResult::kNotRecorded);
+  }
   size_t waiting() const { return waiting_.size(); }
 
   // Returns the number of the last run of the task that was recorded or is
