Leader: changes that were not proposed are refused when the term ends

Cause: changes that waited for the batch in flight were dropped together with the leader when it lost its role, and with them their callbacks: the callers heard nothing until their own timeouts, although nothing had been proposed.

Change: the leader's destructor tells them kNotRecorded.

Test that fails before: RefusedBatchTest.AChangeThatWasNotProposedIsRefusedWhenTheTermEnds.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -70,6 +70,10 @@
   static std::shared_ptr<Leader> Create(LeaderContext& context,
                                         const LeaderOptions& options,
                                         const LeaderMetrics& metrics);
+  // Changes that were not proposed yet get kNotRecorded.
+  ~Leader();
+  Leader(const Leader&) = delete;
+  Leader& operator=(const Leader&) = delete;
 
   // Submit(), Cancel() and PutManifest() add a change to the next batch; `done`
   // receives its result.
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -34,6 +34,13 @@
   return leader;
 }
 
+// Callers of changes that wait for the batch in flight would otherwise get no
+// answer when the term ends.
+Leader::~Leader() {
+  std::ranges::for_each(batch_callbacks_,
+                        [](auto& done) { done(RecordResult::kNotRecorded); });
+}
+
 void Leader::Begin() {
   const base::Instant now = context_.Now();
   for (const auto* job : context_.table().active() | std::views::values) {
--- a/libs/jobcontrol/test/refused_batch_test.cc
+++ b/libs/jobcontrol/test/refused_batch_test.cc
@@ -1,6 +1,8 @@
 // Tests of a leader whose replica refuses to propose its batches, because it
 // has stepped down or is handing over its role.
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 #include "jobcontrol/leader.h"
@@ -58,5 +60,18 @@
   EXPECT_EQ(context_.orders.size(), 1U);
 }
 
+// A change waited for the batch in flight when the leader lost its role. Its
+// caller got no answer, although the change had certainly not been recorded.
+TEST_F(RefusedBatchTest, AChangeThatWasNotProposedIsRefusedWhenTheTermEnds) {
+  Submit("proposed");
+  std::optional<RecordResult> result;
+  context_.leader->Cancel(wire::JobId("proposed"),
+                          [&](RecordResult it) { result = it; });
+  ASSERT_EQ(context_.waiting(), 1U);
+  ASSERT_FALSE(result);
+  context_.leader.reset();
+  EXPECT_EQ(result, RecordResult::kNotRecorded);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
