--- a/ctl/src/table.cc
+++ b/ctl/src/table.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <ranges>
 
+#include "wire/codec.h"
+
 namespace sassafras::ctl {
 
 namespace {
@@ -93,7 +95,7 @@
   if (value.is_object() && value.contains("milli_cpus")) {
     return RenderResources(value);
   }
-  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return wire::ToJsonText(value);
 }
 
 std::string RenderTable(const nlohmann::json& items,
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -9,6 +9,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "wire/codec.h"
+
 namespace sassafras::http {
 namespace {
 
@@ -74,8 +76,7 @@
 Answer JsonAnswer(int status, const nlohmann::json& body) {
   return {.status = status,
           .headers = {{"Content-Type", "application/json"}},
-          .body = body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace)};
+          .body = wire::ToJsonText(body)};
 }
 
 Answer ErrorAnswer(int status,
--- a/libs/wire/include/wire/codec.h
+++ b/libs/wire/include/wire/codec.h
@@ -29,6 +29,10 @@
 
 std::string ToCborBytes(const nlohmann::json& value);
 
+// Writes JSON on one line. Strings may quote foreign bytes: what isn't UTF-8 is
+// replaced by U+FFFD, where nlohmann::json::dump() alone would throw.
+std::string ToJsonText(const nlohmann::json& value);
+
 template <typename Message>
 std::string EncodeCbor(const Message& message) {
   return ToCborBytes(nlohmann::json(message));
--- a/libs/wire/src/codec.cc
+++ b/libs/wire/src/codec.cc
@@ -153,4 +153,9 @@
   return bytes;
 }
 
+std::string ToJsonText(const nlohmann::json& value) {
+  constexpr int kOneLine = -1;
+  return value.dump(kOneLine, ' ', false, Json::error_handler_t::replace);
+}
+
 }  // namespace sassafras::wire
--- a/libs/wire/test/codec_test.cc
+++ b/libs/wire/test/codec_test.cc
@@ -28,6 +28,16 @@
   EXPECT_EQ(why.code, CodecError::kTooDeep);
 }
 
+// An error quotes the bytes that can't be read. Written as they were, they
+// ended the process by an exception.
+TEST(CodecTest, JsonThatQuotesForeignBytesIsValidText) {
+  CodecReason why;
+  ASSERT_FALSE(ParseJson("{\"a\":\"\xe4\"}", why));
+  const std::string text = ToJsonText({{"error", why.message}});
+  EXPECT_TRUE(ParseJson(text, why)) << text;
+  EXPECT_EQ(ToJsonText({{"a", "\xe4"}}), "{\"a\":\"\xef\xbf\xbd\"}");
+}
+
 TEST(CodecTest, WrongShapeIsNamed) {
   CodecReason why;
   EXPECT_FALSE(DecodeJson<Resources>(R"({"milli_cpus":"many"})", why));
--- a/tests/harness/job_hosts.cc
+++ b/tests/harness/job_hosts.cc
@@ -15,12 +15,22 @@
 namespace {
 
 constexpr int kHttpPort = 8000;
-constexpr int kPeerPort = 7000;
+constexpr uint16_t kPeerPort = 7000;
+constexpr uint16_t kControlPort = 8144;
+constexpr uint16_t kCallerPort = 8149;
+constexpr uint16_t kReadyPort = 8141;
+constexpr uint16_t kAdviserPort = 8142;
+constexpr int kAdviserNumber =
+    100;  // last number of its address; workers follow
 // Numbers of the roles in decision lines.
 constexpr int kLearnerRole = 0;
 constexpr int kFollowerRole = 1;
 constexpr int kLeaderRole = 3;
 
+std::string ToText(const CallTarget& target) {
+  return target.address + ":" + std::to_string(target.port);
+}
+
 // SASSAFRAS_JOBD in the environment names another program, such as one with a
 // guard taken out.
 std::string ProgramPath() {
@@ -36,7 +46,7 @@
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   for (int i = 0; i < n; ++i) {
-    const std::string name = AddHost(true);
+    const std::string name = AddHost(true, false);
     seeds_ += seeds_.empty() ? "" : ",";
     seeds_ += hosts_.at(name).address + ":" + std::to_string(kPeerPort);
   }
@@ -52,16 +62,23 @@
 }
 
 std::string JobHosts::Add() {
-  std::string name = AddHost(false);
+  std::string name = AddHost(false, false);
   Start(name);
   return name;
 }
 
-std::string JobHosts::AddHost(bool is_first_start) {
+std::string JobHosts::AddEntry() {
+  std::string name = AddHost(false, true);
+  Start(name);
+  return name;
+}
+
+std::string JobHosts::AddHost(bool is_first_start, bool is_entry) {
   const std::string number = std::to_string(hosts_.size() + 1);
   Host host;
   host.address = subnet_ + number;
   host.is_first_start = is_first_start;
+  host.is_entry = is_entry;
   hosts_.emplace("h" + number, std::move(host));
   return "h" + number;
 }
@@ -77,14 +94,67 @@
 
 void JobHosts::WriteSettings(const std::string& name) const {
   const Host& host = hosts_.at(name);
-  std::ofstream(folder_ / (name + ".toml"))
-      << "[process]\nname = \"" << name << "\"\nzone = \"zone-a\"\n"
-      << "data_folder = \"" << DataFolder(name).string() << "\"\n"
-      << "[http]\naddress = \"" << host.address << "\"\nport = " << kHttpPort
+  std::ofstream out(folder_ / (name + ".toml"));
+  out << "[process]\nname = \"" << name << "\"\nzone = \"zone-a\"\n";
+  if (!host.is_entry) {
+    out << "data_folder = \"" << DataFolder(name).string() << "\"\n";
+  }
+  out << "[http]\naddress = \"" << host.address << "\"\nport = " << kHttpPort
       << "\n[peer]\naddress = \"" << host.address << "\"\nport = " << kPeerPort
       << "\n[cluster]\nsecret = \"a secret of the tests\"\nseeds = \"" << seeds_
       << "\"\nfirst_start = " << (host.is_first_start ? "true" : "false")
-      << "\n[log]\nfile = \"" << LogFile(name).string() << "\"\n";
+      << "\n[log]\nfile = \"" << LogFile(name).string()
+      << "\"\n[jobs]\nadviser = \"" << ToText(AdviserTarget()) << "\"\n";
+  if (host.is_entry) {
+    out << "callers = \"" << ToText(CallerTarget(name)) << "\"\nready = \""
+        << ToText(ReadyTarget(name)) << "\"\n";
+  } else {
+    out << "control = \"" << ToText(ControlTarget(name)) << "\"\n";
+  }
+}
+
+CallTarget JobHosts::AdviserTarget() const {
+  return {subnet_ + std::to_string(kAdviserNumber), kAdviserPort};
+}
+
+std::string JobHosts::WorkerAddress(int number) const {
+  return subnet_ + std::to_string(kAdviserNumber + number);
+}
+
+CallTarget JobHosts::ControlTarget(const std::string& name) const {
+  return {hosts_.at(name).address, kControlPort};
+}
+
+CallTarget JobHosts::PeerTarget(const std::string& name) const {
+  return {hosts_.at(name).address, kPeerPort};
+}
+
+CallTarget JobHosts::CallerTarget(const std::string& name) const {
+  return {hosts_.at(name).address, kCallerPort};
+}
+
+CallTarget JobHosts::ReadyTarget(const std::string& name) const {
+  return {hosts_.at(name).address, kReadyPort};
+}
+
+std::vector<std::string> JobHosts::ControlHosts() const {
+  std::vector<std::string> found;
+  for (const auto& [name, host] : hosts_) {
+    if (host.process.is_running() && !host.is_entry) {
+      found.push_back(name);
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> JobHosts::Crashed() const {
+  std::vector<std::string> found;
+  for (const auto& [name, host] : hosts_) {
+    if (host.process.is_running() && host.process.HasEnded()) {
+      found.push_back(name);
+    }
+  }
+  return found;
 }
 
 void JobHosts::Remove(const std::string& name) {
--- a/tests/harness/job_hosts.h
+++ b/tests/harness/job_hosts.h
@@ -1,5 +1,5 @@
-// Control hosts of the job queues under test: starting, replacing and wiping
-// them, and what their logs say of their roles.
+// Control hosts and entries of the job queues under test: starting, replacing
+// and wiping them, and what their logs say of their roles.
 
 #ifndef TESTS_HARNESS_JOB_HOSTS_H_
 #define TESTS_HARNESS_JOB_HOSTS_H_
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "http_call.h"
 #include "process.h"
 
 namespace sassafras::tests {
@@ -26,6 +27,8 @@
   // Starts another host with an empty data folder at an address of its own, and
   // returns its name.
   std::string Add();
+  // Starts an entry, which serves callers, and returns its name.
+  std::string AddEntry();
   // Ends the host for good, without notice; its disk is gone too.
   void Remove(const std::string& name);
   // The same, but by SIGTERM; waits for the end.
@@ -33,6 +36,23 @@
   // The host loses power and starts again with an empty data folder.
   void LoseDisk(const std::string& name);
 
+  // Returns where the hosts ask the placement service; a test may listen there.
+  CallTarget AdviserTarget() const;
+  // Returns an address of its own for the worker with this number, from 1 on.
+  std::string WorkerAddress(int number) const;
+  // Returns where a control host serves workers and the operator.
+  CallTarget ControlTarget(const std::string& name) const;
+  // Returns where a host serves the other hosts.
+  CallTarget PeerTarget(const std::string& name) const;
+  // Returns where an entry serves callers, and where it tells its readiness.
+  CallTarget CallerTarget(const std::string& name) const;
+  CallTarget ReadyTarget(const std::string& name) const;
+
+  // Returns the control hosts that were started and not removed.
+  std::vector<std::string> ControlHosts() const;
+  // Returns the hosts whose process has ended by itself.
+  std::vector<std::string> Crashed() const;
+
   // Returns the running host that leads, or an empty name.
   std::string Leader() const;
   // Returns the running hosts that vote, but for the leader.
@@ -44,7 +64,8 @@
   struct Host {
     std::string address;
     bool is_first_start = false;
-    int boots = 0;  // each has a log of its own
+    bool is_entry = false;  // has no data folder
+    int boots = 0;          // each has a log of its own
     Process process;
   };
   struct RoleLine {
@@ -52,7 +73,7 @@
     int term = 0;
   };
 
-  std::string AddHost(bool is_first_start);
+  std::string AddHost(bool is_first_start, bool is_entry);
   void Start(const std::string& name);
   void WriteSettings(const std::string& name) const;
   std::filesystem::path LogFile(const std::string& name) const;
