--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -82,8 +82,9 @@
   std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
   const size_t wanted = step.MissingTasks();
   const size_t fitting = CountFittingTasks(permitted);
+  const bool searches = fitting < wanted && IsAdviceSearchDue(step, permitted);
   std::vector<AdviceCandidate> unknown;
-  if (fitting < wanted && IsAdviceSearchDue(step, permitted)) {
+  if (searches) {
     unknown = UnknownCandidates(step);
   }
   const double share = advice_.PermittedShare(step.job->queue);
@@ -94,7 +95,7 @@
     AddAdviceRequest(step, std::move(permitted), std::min(wanted, fitting), 1);
   } else if (permitted.empty()) {
     RequestEarlyAdvice(step, std::move(unknown));
-  } else {
+  } else if (searches) {
     plan_.steps_without_query.push_back(step.key);
   }
 }
