Workers: one odd row of an answer doesn't make the others unreadable

Reported by other operators for systems like ours: another writer's odd entry (nested deep, a number too large, a port out of range) among those of the workers. Seen here, by tests:

- One odd row in the answer to a hold made the whole answer unreadable: the worker counted as silent, and its runs were given up.

Rows of the list of ends that can't be read count towards its length, so that a list that was cut off is still recognised. Bodies nested deeper than 64 were refused before already.

--- a/libs/jobcontrol/src/relay_messages.cc
+++ b/libs/jobcontrol/src/relay_messages.cc
@@ -90,12 +90,13 @@
           reply.is_refused,
           reply.clock_ms,
           reply.running,
-          reply.ended};
+          reply.ended,
+          reply.unread_ends};
 }
 
 jobs::HoldReply ToHoldReply(const RelayedHoldReply& reply) {
-  return {reply.is_answered, reply.is_refused, reply.clock_ms, reply.running,
-          reply.ended};
+  return {reply.is_answered, reply.is_refused, reply.clock_ms,
+          reply.running,     reply.ended,      reply.unread_ends};
 }
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/src/relay_messages.h
+++ b/libs/jobcontrol/src/relay_messages.h
@@ -88,6 +88,7 @@
   int64_t clock_ms = 0;
   std::vector<jobs::RunReport> running;
   std::vector<jobs::EndReport> ended;
+  uint64_t unread_ends = 0;
 };
 WIRE_DEFINE_ARRAY(RelayedHoldReply,
                   id,
@@ -95,7 +96,8 @@
                   is_refused,
                   clock_ms,
                   running,
-                  ended)
+                  ended,
+                  unread_ends)
 
 struct RelayReply {
   std::vector<RelayedOrderReply> orders;
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -274,7 +274,7 @@
     }
   }
   reported_cursor_ = outcome.end_cursor;
-  if (reply.ended.size() >= kMaxListedEnds) {
+  if (reply.ended.size() + reply.unread_ends >= kMaxListedEnds) {
     return outcome;
   }
   std::set<RunKey> running;
