--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -362,6 +362,11 @@
 
   void Submit(const nlohmann::json& body, const cluster::ReplyDone& done) {
     auto job = body.get<jobs::AddJob>();
+    const std::string fault = jobs::FaultOf(job.spec);
+    if (!fault.empty()) {
+      done(MakeRefusal(fault));
+      return;
+    }
     if (table_.manifest().FindQueue(job.queue) == nullptr) {
       done(
           MakeRefusal("the manifest has no queue \"" + job.queue.str() + "\""));
@@ -458,6 +463,11 @@
   void OnForwardedHeartbeat(const nlohmann::json& body,
                             const cluster::ReplyDone& done) {
     const auto heartbeat = body.get<WorkerHeartbeat>();
+    const std::string fault = jobs::FaultOf(heartbeat.worker, WallNow());
+    if (!fault.empty()) {
+      done(MakeRefusal(fault));
+      return;
+    }
     leader_->OnHeartbeat(heartbeat.worker, heartbeat.clock_ms,
                          ReplyWhenRecorded(done));
   }
--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/id.h"
+#include "base/time.h"
 #include "wire/array_json.h"
 #include "wire/ids.h"
 
@@ -167,6 +168,10 @@
                                                 rack,
                                                 is_draining)
 
+// Returns why a report of this worker can't be true at the time of day `now`,
+// or an empty string if it can. Clocks of hosts may differ.
+std::string FaultOf(const WorkerInfo& worker, base::WallMs now);
+
 enum class RunOutcome {
   kDone,
   kFailed,          // counts against Queue::max_attempts
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -262,9 +262,9 @@
   if (is_renewal || query.workers.empty()) {
     return;
   }
-  const double share = std::max(kMinPermittedShare,
-                                static_cast<double>(permitted) /
-                                    static_cast<double>(query.workers.size()));
+  const double share = std::clamp(static_cast<double>(permitted) /
+                                      static_cast<double>(query.workers.size()),
+                                  kMinPermittedShare, 1.0);
   const auto it =
       permitted_shares_.try_emplace(query.queue, kInitialPermittedShare).first;
   it->second += kAnswerWeight * (share - it->second);
--- a/libs/jobs/src/job_timing.cc
+++ b/libs/jobs/src/job_timing.cc
@@ -15,6 +15,7 @@
 constexpr double kMinEstimateShare = 0.5;
 // Workers named in the advice query that the objective includes for each step.
 constexpr double kAdvisedWorkers = 30;
+constexpr double kMaxTimeMs = 1e13;
 
 int64_t AdviceMs(const Queue* queue) {
   if (queue == nullptr || !queue->advice.is_required) {
@@ -24,9 +25,10 @@
                               kAdvisedWorkers * queue->advice.each_ms);
 }
 
+// Longer times count as kMaxTimeMs, which sums of a few times can hold.
 base::Duration Milliseconds(double ms) {
   return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(ms));
+      std::chrono::duration<double, std::milli>(std::min(ms, kMaxTimeMs)));
 }
 
 }  // namespace
