Leader: a heartbeat for a service that nobody names displaces no worker

Cause: the table takes a later boot at an address for proof that the earlier one has ended, whatever service it is of.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -111,6 +111,14 @@
     done(RecordResult::kRecorded);  // stale: a later boot is recorded
     return;
   }
+  // Nothing can be placed there, and the entry may be another writer's: it must
+  // not displace a worker with its id or at its address.
+  const bool keeps_service =
+      record != nullptr && record->info.service == worker.service;
+  if (!keeps_service && !context_.table().HasService(worker.service)) {
+    done(RecordResult::kRecorded);
+    return;
+  }
   if (jobs::WorkerSession* session = FindSession(worker.boot)) {
     session->OnHeartbeat(worker, clock_ms, context_.Now());
   } else {
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -273,6 +273,9 @@
   const Manifest& manifest() const { return manifest_; }
   // Returns the queue as defined in the newest manifest that contains it.
   const Queue* FindQueue(const QueueId& id) const;
+  // Whether the manifest names the service, or a queue of this or an earlier
+  // manifest uses it.
+  bool HasService(const wire::ServiceId& service) const;
   const JobRecord* FindJob(const wire::JobId& id) const;
   const WorkerRecord* FindWorker(const wire::WorkerId& id) const;
   const StepRecord* FindStep(const StepKey& key) const;
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -163,6 +163,14 @@
   return it == queues_.end() ? nullptr : &it->second;
 }
 
+bool JobTable::HasService(const wire::ServiceId& service) const {
+  return std::ranges::find(manifest_.services, service) !=
+             manifest_.services.end() ||
+         std::ranges::any_of(queues_ | std::views::values, [&](auto& queue) {
+           return queue.service == service;
+         });
+}
+
 const JobRecord* JobTable::FindJob(const wire::JobId& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
