--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -367,17 +367,18 @@
       done(MakeRefusal(fault));
       return;
     }
-    if (table_.manifest().FindQueue(job.queue) == nullptr) {
+    const jobs::Queue* queue = table_.FindCurrentQueue(job.queue);
+    if (queue == nullptr) {
       done(
           MakeRefusal("the manifest has no queue \"" + job.queue.str() + "\""));
       return;
     }
+    job.queue = queue->id;
     leader_->Submit(std::move(job), ReplyWhenRecorded(done));
   }
 
   const jobs::JobRecord* FindJob(const JobQuery& query) const {
-    const jobs::JobRecord* job = table_.FindJob(query.job);
-    return job != nullptr && job->queue == query.queue ? job : nullptr;
+    return table_.FindJob(query.queue, query.job);
   }
 
   // Calls `then` with the job, or replies that it doesn't exist. The negative
@@ -432,13 +433,13 @@
   void CountWaitingJobs(const nlohmann::json& body,
                         const cluster::ReplyDone& done) {
     const auto query = body.get<JobQuery>();
-    if (table_.manifest().FindQueue(query.queue) == nullptr) {
+    const jobs::Queue* queue = table_.FindCurrentQueue(query.queue);
+    if (queue == nullptr) {
       done(MakeRefusal("the manifest has no queue \"" + query.queue.str() +
                        "\""));
       return;
     }
-    done(MakeReply(wire::ReplyStatus::kOk,
-                   table_.CountWaitingJobs(query.queue)));
+    done(MakeReply(wire::ReplyStatus::kOk, table_.CountWaitingJobs(queue->id)));
   }
 
   void PutManifest(const nlohmann::json& body, const cluster::ReplyDone& done) {
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -273,10 +273,15 @@
   const Manifest& manifest() const { return manifest_; }
   // Returns the queue as defined in the newest manifest that contains it.
   const Queue* FindQueue(const QueueId& id) const;
+  // Returns the queue of the manifest with this name or, after the operator has
+  // renamed it, with its host and path. Null if the manifest has none.
+  const Queue* FindCurrentQueue(const QueueId& id) const;
   // Whether the manifest names the service, or a queue of this or an earlier
   // manifest uses it.
   bool HasService(const wire::ServiceId& service) const;
   const JobRecord* FindJob(const wire::JobId& id) const;
+  // Returns the job if it is one of the queue, which may have been renamed.
+  const JobRecord* FindJob(const QueueId& queue, const wire::JobId& id) const;
   const WorkerRecord* FindWorker(const wire::WorkerId& id) const;
   const StepRecord* FindStep(const StepKey& key) const;
 
@@ -295,6 +300,7 @@
 
  private:
   void Put(const Manifest& manifest);
+  void MoveJobsOfRenamedQueues();
   void Put(const WorkerInfo& info);
   bool IsStale(const WorkerInfo& info) const;
   void RemoveWorkersAtAddress(const WorkerInfo& info);
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -158,19 +158,6 @@
   return table;
 }
 
-const Queue* JobTable::FindQueue(const QueueId& id) const {
-  const auto it = queues_.find(id);
-  return it == queues_.end() ? nullptr : &it->second;
-}
-
-bool JobTable::HasService(const wire::ServiceId& service) const {
-  return std::ranges::find(manifest_.services, service) !=
-             manifest_.services.end() ||
-         std::ranges::any_of(queues_ | std::views::values, [&](auto& queue) {
-           return queue.service == service;
-         });
-}
-
 const JobRecord* JobTable::FindJob(const wire::JobId& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -189,19 +176,6 @@
 
 // --- applying a batch ---
 
-// Ignores a manifest unless its version is higher than the current one, even if
-// its text differs.
-void JobTable::Put(const Manifest& manifest) {
-  if (manifest.version <= manifest_.version) {
-    return;
-  }
-  manifest_ = manifest;
-  changes_.is_manifest_changed = true;
-  for (const Queue& queue : manifest_.queues) {
-    queues_[queue.id] = queue;
-  }
-}
-
 // A later boot with the same id means that the earlier process has exited, and
 // that all its runs have ended.
 void JobTable::Put(const WorkerInfo& info) {
