--- a/libs/jobs/include/jobs/crash.h
+++ b/libs/jobs/include/jobs/crash.h
@@ -53,8 +53,9 @@
 // Whether the task must be started in a trial.
 bool IsSuspect(std::span<const CrashRecord> crashes);
 // Whether the crashes show that the task is their cause, so that it must not be
-// started again.
-bool IsCrashCause(std::span<const CrashRecord> crashes);
+// started again. A task with fewer crashes than its queue allows attempts isn't
+// given up: workers crash for other reasons, too.
+bool IsCrashCause(std::span<const CrashRecord> crashes, uint32_t max_attempts);
 // How long the worker of a run gets no other work, if the task is a suspect.
 base::Duration TrialTime(std::span<const CrashRecord> crashes);
 // How long a run must live to prove that the task is sound.
--- a/libs/jobs/src/crash.cc
+++ b/libs/jobs/src/crash.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Crashes of which the task was the only possible cause, before it is given up.
-constexpr int64_t kMaxSoleCrashes = 2;
+constexpr int64_t kMinSoleCrashes = 2;
 // Crashes after which even a task whose runs lived longer than kTrialTime is
 // suspected.
 constexpr size_t kMaxLateCrashes = 3;
@@ -40,10 +40,13 @@
   return has_early || crashes.size() >= kMaxLateCrashes;
 }
 
-bool IsCrashCause(std::span<const CrashRecord> crashes) {
+bool IsCrashCause(std::span<const CrashRecord> crashes, uint32_t max_attempts) {
   const auto sole =
       std::ranges::count(crashes, CrashRole::kSole, &CrashRecord::role);
-  return sole >= kMaxSoleCrashes || crashes.size() >= kMaxCrashes;
+  const bool is_convicted =
+      sole >= kMinSoleCrashes || crashes.size() >= kMaxCrashes;
+  return is_convicted &&
+         crashes.size() >= std::min<size_t>(max_attempts, kMaxCrashes);
 }
 
 base::Duration TrialTime(std::span<const CrashRecord> crashes) {
--- a/libs/jobs/src/job_table_ends.cc
+++ b/libs/jobs/src/job_table_ends.cc
@@ -79,7 +79,8 @@
   }
   task.crashes.push_back(
       {end.worker, end.run, end.crash_role, end.crashed_at_ms});
-  if (job.phase == JobPhase::kActive && IsCrashCause(task.crashes)) {
+  if (job.phase == JobPhase::kActive &&
+      IsCrashCause(task.crashes, MaxAttempts(job))) {
     changes_.crash_causes.push_back(end.task);
     EndJob(job, JobPhase::kFailed);
   }
