--- a/libs/jobcontrol/test/foreign_heartbeat_test.cc
+++ b/libs/jobcontrol/test/foreign_heartbeat_test.cc
@@ -11,16 +11,6 @@
 
 class ForeignHeartbeatTest : public LeaderTest {
  protected:
-  // A task runs on "w".
-  void StartTask() {
-    AddWorker("w");
-    context_.AnswerHolds({});
-    Submit("j");
-    context_.Commit();
-    ASSERT_EQ(context_.orders.size(), 1U);
-    context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
-  }
-
   void SendHeartbeat(const jobs::WorkerInfo& info) {
     context_.leader->OnHeartbeat(
         info, context_.ClockMs(),
@@ -34,7 +24,7 @@
 // The heartbeat of a service that no manifest names took the address of a live
 // worker over, whose tasks were then started again while they ran.
 TEST_F(ForeignHeartbeatTest, AnUnknownServiceDisplacesNoWorkerAtItsAddress) {
-  ASSERT_NO_FATAL_FAILURE(StartTask());
+  ASSERT_NO_FATAL_FAILURE(RunTask());
   AddWorker("v");
   jobs::WorkerInfo odd = Worker("odd");
   odd.boot.started_ms = 2;
@@ -53,7 +43,7 @@
 }
 
 TEST_F(ForeignHeartbeatTest, AnUnknownServiceChangesNoWorkerWithItsId) {
-  ASSERT_NO_FATAL_FAILURE(StartTask());
+  ASSERT_NO_FATAL_FAILURE(RunTask());
   jobs::WorkerInfo odd = Worker("w");
   odd.service = wire::ServiceId("nobody");
   SendHeartbeat(odd);
--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -204,6 +204,16 @@
         [this](RecordResult result) { submitted_ = result; });
   }
 
+  // Has the worker "w" run the task of the job "j".
+  void RunTask() {
+    AddWorker("w");
+    context_.AnswerHolds({});
+    Submit("j");
+    context_.Commit();
+    ASSERT_EQ(context_.orders.size(), 1U);
+    context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  }
+
   const jobs::StartOrder& FirstStart() const {
     return std::get<jobs::StartOrder>(context_.orders.at(0).call.order);
   }
--- a/libs/jobcontrol/test/refused_batch_test.cc
+++ b/libs/jobcontrol/test/refused_batch_test.cc
@@ -15,11 +15,7 @@
  protected:
   // Proposes the end of a run, with nothing else in flight.
   void ReportEnd() {
-    AddWorker("w");
-    context_.AnswerHolds({});
-    Submit("j");
-    context_.Commit();
-    context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+    ASSERT_NO_FATAL_FAILURE(RunTask());
     jobs::HoldReply lists;
     lists.ended = {{1, FirstStart().task, 1, jobs::RunOutcome::kDone, ""}};
     context_.AnswerHolds(lists);
