--- a/tests/harness/job_hosts.cc
+++ b/tests/harness/job_hosts.cc
@@ -20,8 +20,8 @@
 constexpr uint16_t kCallerPort = 8149;
 constexpr uint16_t kReadyPort = 8141;
 constexpr uint16_t kAdviserPort = 8142;
-constexpr int kAdviserNumber =
-    100;  // last number of its address; workers follow
+// Last number of the placement service's address; those of workers follow.
+constexpr int kAdviserNumber = 100;
 // Numbers of the roles in decision lines.
 constexpr int kLearnerRole = 0;
 constexpr int kFollowerRole = 1;
