--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -93,12 +93,7 @@
   };
   lose();
   ASSERT_EQ(context_.table().FindWorker(wire::WorkerId("w")), nullptr);
-  AddWorker("w");
-  context_.AnswerHolds({});
-  Submit("j");
-  context_.Commit();
-  ASSERT_EQ(context_.orders.size(), 1U);
-  context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  ASSERT_NO_FATAL_FAILURE(RunTask());
   lose();
   EXPECT_EQ(context_.table().FindWorker(wire::WorkerId("w")), nullptr);
 }
