--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -21,6 +21,7 @@
 #include "jobcontrol/leader_metrics.h"
 #include "jobcontrol/worker_link.h"
 #include "jobs/advice.h"
+#include "jobs/crash_history.h"
 #include "jobs/job_table.h"
 #include "jobs/progress.h"
 #include "jobs/scheduler.h"
@@ -116,12 +117,22 @@
   bool IsAboutToChange(const jobs::WorkerBoot& worker) const;
   void AddDueOccurrences();
   void RemoveLostWorkers();
-  // Proposes that the worker's process has ended, and so all its runs.
-  void DeclareLost(const jobs::WorkerSession& session, bool has_exited);
+  // Why none of a worker's runs can still be running.
+  enum class LossProof {
+    kLeaseExpired,
+    kLaterBoot,  // a later boot has its id or its address
+  };
+  // Proposes that all runs of the worker have ended.
+  void DeclareLost(const jobs::WorkerSession& session, LossProof proof);
   void DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor);
   std::vector<jobs::CrashRole> CrashRolesOf(const jobs::WorkerRecord& record,
                                             const jobs::WorkerSession& session,
-                                            bool has_exited) const;
+                                            bool has_crashed) const;
+  // Remembers when the worker went down and which runs may be the cause.
+  void NoteCrash(const jobs::WorkerSession& session);
+  std::vector<jobs::CrashedRun> CrashedRunsOf(
+      const jobs::WorkerRecord& record,
+      const jobs::WorkerSession& session) const;
   void WatchSuspect(const jobs::StartRun& start);
   void ProveSuspects();
   void LogCrashCause(const jobs::TaskKey& task) const;
@@ -183,6 +194,7 @@
   std::set<jobs::WorkerBoot> workers_being_removed_;  // removal is in a batch
   // Open runs of tasks under which workers have crashed, and their workers.
   std::map<std::pair<jobs::TaskKey, uint64_t>, jobs::WorkerBoot> unproven_runs_;
+  jobs::CrashHistory crash_history_;  // of this term
   // Whether a pass over all sessions is in progress, and the last worker that
   // it has called; empty before the first.
   bool is_call_round_active_ = false;
--- a/libs/jobcontrol/src/leader_losses.cc
+++ b/libs/jobcontrol/src/leader_losses.cc
@@ -39,7 +39,7 @@
   const base::Instant now = context_.Now();
   for (auto& session : sessions_ | std::views::values) {
     if (session.IsLost(now)) {
-      DeclareLost(session, session.HasExited());
+      DeclareLost(session, LossProof::kLeaseExpired);
     }
   }
 }
@@ -53,24 +53,31 @@
         info.boot.id == successor.boot.id ||
         (info.address == successor.address && info.port == successor.port);
     if (is_same && info.boot.started_ms < successor.boot.started_ms) {
-      DeclareLost(session, true);
+      DeclareLost(session, LossProof::kLaterBoot);
     }
   }
 }
 
-void Leader::DeclareLost(const jobs::WorkerSession& session, bool has_exited) {
+void Leader::DeclareLost(const jobs::WorkerSession& session, LossProof proof) {
   if (!workers_being_removed_.insert(session.boot()).second) {
     return;
   }
+  const bool has_crashed =
+      proof == LossProof::kLaterBoot || session.RefusesConnections();
   Decision("worker-lost")
       .With("worker", session.boot().id)
       .With("boot", session.boot().started_ms)
-      .With("ended", has_exited)
+      .With("proof", proof == LossProof::kLaterBoot ? "later-boot" : "lease")
+      .With("refuses", session.RefusesConnections())
+      .With("silent_us", context_.Now() - session.LastSignOfLife())
       .Write();
   metrics_.workers_lost.Add();
   const jobs::WorkerRecord& record =
       context_.table().workers().at(session.boot().id);
-  const auto roles = CrashRolesOf(record, session, has_exited);
+  if (has_crashed) {
+    NoteCrash(session);
+  }
+  const auto roles = CrashRolesOf(record, session, has_crashed);
   for (size_t n = 0; n < record.runs.size(); ++n) {
     const jobs::OpenRun& run = record.runs[n];
     Decision("run-lost")
@@ -92,10 +99,39 @@
 std::vector<jobs::CrashRole> Leader::CrashRolesOf(
     const jobs::WorkerRecord& record,
     const jobs::WorkerSession& session,
-    bool has_exited) const {
+    bool has_crashed) const {
   if (session.info().is_draining) {
     return std::vector<jobs::CrashRole>(record.runs.size());
   }
+  auto roles = jobs::RolesOf(CrashedRunsOf(record, session), has_crashed);
+  for (size_t n = 0; n < roles.size(); ++n) {
+    const jobs::TaskKey& task = record.runs[n].task;
+    const jobs::StepSpec* spec = FindStepSpec(task);
+    const bool is_gang = spec != nullptr && spec->is_gang;
+    roles[n] = crash_history_.Weigh(
+        {session.boot(), task, is_gang, session.LastSignOfLife()}, roles[n]);
+  }
+  return roles;
+}
+
+void Leader::NoteCrash(const jobs::WorkerSession& session) {
+  const jobs::WorkerRecord* record =
+      context_.table().FindWorker(session.boot().id);
+  if (record == nullptr || record->info.boot != session.boot()) {
+    return;
+  }
+  jobs::WorkerCrash crash{session.boot(), session.LastSignOfLife(), {}};
+  for (const jobs::CrashedRun& run : CrashedRunsOf(*record, session)) {
+    if (jobs::MayBeCause(run)) {
+      crash.suspects.push_back(run.task);
+    }
+  }
+  crash_history_.Add(std::move(crash));
+}
+
+std::vector<jobs::CrashedRun> Leader::CrashedRunsOf(
+    const jobs::WorkerRecord& record,
+    const jobs::WorkerSession& session) const {
   std::vector<jobs::CrashedRun> runs;
   for (const jobs::OpenRun& run : record.runs) {
     const jobs::JobRecord* job = context_.table().FindJob(run.task.step.job);
@@ -108,7 +144,7 @@
     runs.push_back(
         {run.task, session.AgeAtLastSign(run.task, run.run), earlier});
   }
-  return jobs::RolesOf(runs, has_exited);
+  return runs;
 }
 
 void Leader::WatchSuspect(const jobs::StartRun& start) {
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -231,6 +231,8 @@
   if (reply.is_answered) {
     PaceFillers(*session);
     StopStragglers(*session);
+  } else if (session->RefusesConnections()) {
+    NoteCrash(*session);
   }
   SendPendingCalls(*session);
   Flush();
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -75,6 +75,30 @@
   EXPECT_GT(context_.Now() - ordered, milliseconds(4000));
 }
 
+// A cut that answers with resets looks like a crash from all hosts, so a refused
+// connection proves no more than silence.
+TEST_F(LeaderTest,
+       ATaskOfARefusingWorkerRestartsElsewhereOnlyAfterItsLeaseExpires) {
+  ASSERT_NO_FATAL_FAILURE(RunTask());
+  const base::Instant ordered = context_.Now();
+  AddWorker("v");
+  const size_t before = context_.orders.size();
+  while (context_.orders.size() == before &&
+         context_.Now() - ordered < milliseconds(20'000)) {
+    for (auto& hold : std::exchange(context_.holds, {})) {
+      jobs::HoldReply reply;
+      reply.is_answered = hold.worker.boot.id == wire::WorkerId("v");
+      reply.is_refused = !reply.is_answered;
+      reply.clock_ms = context_.ClockMs();
+      hold.done(reply);
+    }
+    context_.Advance(milliseconds(100));
+    context_.Commit();
+  }
+  ASSERT_GT(context_.orders.size(), before);
+  EXPECT_GT(context_.Now() - ordered, milliseconds(4000));
+}
+
 // A disconnected worker may return as the same boot, take work again and be
 // lost later. The leader must not skip it as already removed.
 TEST_F(LeaderTest, AReturnedWorkerIsDeclaredLostAgain) {
--- a/libs/jobs/include/jobs/crash.h
+++ b/libs/jobs/include/jobs/crash.h
@@ -67,11 +67,13 @@
   base::Duration age{};                  // at the worker's last sign of life
   std::span<const CrashRecord> earlier;  // of the task
 };
+// Whether the run is so young that it may have caused the crash.
+bool MayBeCause(const CrashedRun& run);
 // Returns the roles of the runs that were on one worker, in the same order.
-// `has_exited` tells that the worker's process has ended; otherwise it may only
-// have been out of reach, which is no proof against a task.
+// `has_crashed` tells that the worker's process has probably ended; otherwise
+// it may only have been out of reach, which says nothing against a task.
 std::vector<CrashRole> RolesOf(std::span<const CrashedRun> runs,
-                               bool has_exited);
+                               bool has_crashed);
 
 }  // namespace sassafras::jobs
 
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -317,6 +317,7 @@
   bool CloseRun(const EndRun& end);
   void RecordEnd(JobRecord& job, const EndRun& end, bool was_open);
   void CountEnd(JobRecord& job, StepRecord& step, const EndRun& end);
+  static void TakeBackCrash(TaskRecord& task, const EndRun& report);
   void CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end);
   void AddSurplusRuns(const EndRun& done);
   void RecordGangEnd(JobRecord& job, StepRecord& step, const EndRun& end);
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -97,7 +97,8 @@
 WIRE_DEFINE_ARRAY(EndReport, number, task, run, outcome, checkpoint)
 struct HoldReply {
   bool is_answered = false;  // a valid reply by the expected boot was received
-  // Connection refused: nothing listens at the worker's address.
+  // Connection refused: nothing listens at the worker's address, or a host on
+  // the way to it answers in its place.
   bool is_refused = false;
   int64_t clock_ms = 0;
   std::vector<RunReport> running;
@@ -158,12 +159,12 @@
   // Whether the worker can get new work: it has replied recently to this
   // leader, is healthy and isn't draining.
   bool IsUsable(base::Instant now) const;
-  // Whether none of its runs can still be running, because its lease has
-  // expired or its process has exited.
+  // Whether none of its runs can still be running, because it is silent and its
+  // lease has expired. Refused connections don't prove that earlier.
   bool IsLost(base::Instant now) const;
-  // Whether its process has exited, so that runs can be restarted elsewhere
-  // before the lease expires.
-  bool HasExited() const { return has_exited_; }
+  // Whether it has refused connections since its last sign of life. Its process
+  // has probably exited, but may as well be cut off.
+  bool RefusesConnections() const { return refused_since_.has_value(); }
   // Runs listed in the last hold reply.
   const std::vector<RunReport>& running() const { return running_; }
   // When the worker was last known to live: when it stopped accepting
@@ -210,7 +211,6 @@
                                      base::Instant now);
   EndRun CloseRun(const RunKey& key, RunOutcome outcome);
   void MarkStopped(RunState& state, base::Instant now);
-  void OnFailedHold(bool is_refused, base::Instant now);
   std::optional<EndRun> ReconcileRun(const RunKey& key,
                                      RunState& state,
                                      bool is_running) const;
@@ -233,7 +233,6 @@
   // When the first refused hold since the last sign of life was refused;
   // nullopt if none was refused.
   std::optional<base::Instant> refused_since_;
-  bool has_exited_ = false;
   base::Instant unhealthy_until_;
   bool has_open_hold_ = false;
   base::Instant hold_sent_;
--- a/libs/jobs/src/crash.cc
+++ b/libs/jobs/src/crash.cc
@@ -14,19 +14,15 @@
 // suspected.
 constexpr size_t kMaxLateCrashes = 3;
 
-bool MayBeCause(const CrashedRun& run) {
-  return run.age <= TrialTime(run.earlier);
-}
-
 CrashRole RoleOf(const CrashedRun& run,
                  std::span<const CrashedRun> runs,
-                 bool has_exited) {
+                 bool has_crashed) {
   if (!MayBeCause(run)) {
     return run.age <= kLongTrialTime ? CrashRole::kLate : CrashRole::kNone;
   }
   // A job fails as a whole, so its runs needn't be told apart.
   const bool is_sole =
-      has_exited && std::ranges::none_of(runs, [&](auto& other) {
+      has_crashed && std::ranges::none_of(runs, [&](auto& other) {
         return other.task.step.job != run.task.step.job && MayBeCause(other);
       });
   return is_sole ? CrashRole::kSole : CrashRole::kEarly;
@@ -34,6 +30,10 @@
 
 }  // namespace
 
+bool MayBeCause(const CrashedRun& run) {
+  return run.age <= TrialTime(run.earlier);
+}
+
 bool IsSuspect(std::span<const CrashRecord> crashes) {
   const bool has_early = std::ranges::any_of(
       crashes, [](auto& it) { return it.role != CrashRole::kLate; });
@@ -60,10 +60,10 @@
 }
 
 std::vector<CrashRole> RolesOf(std::span<const CrashedRun> runs,
-                               bool has_exited) {
+                               bool has_crashed) {
   std::vector<CrashRole> roles;
   std::ranges::transform(runs, std::back_inserter(roles), [&](auto& run) {
-    return RoleOf(run, runs, has_exited);
+    return RoleOf(run, runs, has_crashed);
   });
   return roles;
 }
--- a/libs/jobs/src/job_table_ends.cc
+++ b/libs/jobs/src/job_table_ends.cc
@@ -44,6 +44,9 @@
     return;
   }
   TaskRecord& task = step->tasks[end.task.index];
+  if (!end.is_presumed) {
+    TakeBackCrash(task, end);
+  }
   if (end.run < task.run && end.outcome == RunOutcome::kDone) {
     CountEnd(job, *step, end);
     AddSurplusRuns(end);
@@ -58,25 +61,24 @@
     --step->open;
   }
   task.is_end_presumed = end.is_presumed;
-  CountCrash(job, task, end);
+  if (end.is_presumed && end.crash_role != CrashRole::kNone) {
+    CountCrash(job, task, end);
+  }
   CountEnd(job, *step, end);
 }
 
 // A run that ended by itself didn't crash its worker, and that of a task that
 // has crashed others would have. A report shows that the loss that had been
-// presumed wasn't caused by the run.
+// presumed wasn't caused by the run, also when a later run has been started.
+void JobTable::TakeBackCrash(TaskRecord& task, const EndRun& report) {
+  const bool ended_by_itself = report.outcome == RunOutcome::kDone ||
+                               report.outcome == RunOutcome::kFailed;
+  std::erase_if(task.crashes, [&](auto& it) {
+    return ended_by_itself || it.run == report.run;
+  });
+}
+
 void JobTable::CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end) {
-  if (!end.is_presumed) {
-    const bool ended_by_itself =
-        end.outcome == RunOutcome::kDone || end.outcome == RunOutcome::kFailed;
-    std::erase_if(task.crashes, [&](auto& it) {
-      return ended_by_itself || it.run == end.run;
-    });
-    return;
-  }
-  if (end.crash_role == CrashRole::kNone) {
-    return;
-  }
   task.crashes.push_back(
       {end.worker, end.run, end.crash_role, end.crashed_at_ms});
   if (job.phase == JobPhase::kActive &&
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -21,10 +21,6 @@
 // A worker that has not replied to a hold for longer than this gets no new work
 // and no lease renewal.
 constexpr auto kMaxSilence = std::chrono::milliseconds(1600);
-// A worker listens as long as its process lives. Its process is considered
-// exited once it has refused connections for this long without any heartbeat or
-// reply in between.
-constexpr auto kMaxRefusedTime = std::chrono::milliseconds(500);
 constexpr auto kUnhealthyPause = std::chrono::milliseconds(1000);
 // A list of run ends that reaches this length may be truncated.
 constexpr size_t kMaxListedEnds = 500;
@@ -253,7 +249,9 @@
   has_last_hold_failed_ = !reply.is_answered;
   if (!reply.is_answered) {
     next_hold_ = now + kHoldRetryDelay;
-    OnFailedHold(reply.is_refused, now);
+    if (reply.is_refused) {
+      refused_since_ = refused_since_.value_or(now);
+    }
     return outcome;
   }
   refused_since_.reset();
@@ -299,15 +297,6 @@
   return outcome;
 }
 
-void WorkerSession::OnFailedHold(bool is_refused, base::Instant now) {
-  if (!is_refused) {
-    refused_since_.reset();
-    return;
-  }
-  refused_since_ = refused_since_.value_or(now);
-  has_exited_ |= now - *refused_since_ >= kMaxRefusedTime;
-}
-
 // Updates the state of a run that a hold reply doesn't list as ended. Returns
 // its end if the reply proves that it will never run.
 std::optional<EndRun> WorkerSession::ReconcileRun(const RunKey& key,
@@ -350,7 +339,7 @@
 }
 
 bool WorkerSession::IsLost(base::Instant now) const {
-  return has_exited_ || (IsSilent(now) && lease_.IsExpired(now));
+  return IsSilent(now) && lease_.IsExpired(now);
 }
 
 base::Instant WorkerSession::LastSignOfLife() const {
--- a/libs/jobs/test/crash_test.cc
+++ b/libs/jobs/test/crash_test.cc
@@ -159,6 +159,15 @@
   EXPECT_EQ(CrashesOfTask()[0].run, 1U);
 }
 
+// A worker was cut off until its lease had ended. It hadn't crashed, which its
+// report shows when the task already runs elsewhere.
+TEST_F(TaskCrashTest, AReportOfAnEarlierRunTakesItsCrashBack) {
+  CrashTask(1, CrashRole::kSole);
+  ASSERT_TRUE(fixture_.Start(Task("j"), 2, Boot("w")));
+  fixture_.End(Task("j"), 1, Boot("w"), RunOutcome::kLeaseExpired);
+  EXPECT_TRUE(CrashesOfTask().empty());
+}
+
 TEST_F(TaskCrashTest, ARunThatLivesOnClearsItsTask) {
   CrashTask(1, CrashRole::kSole);
   Batch proof;
