Leases: counted from the last proof of leadership

What callers may have seen: a task that runs twice after a leader's process was stopped and went on, where a worker hears the old leader and not yet the new one.

Cause: a lease was counted from the call. A leader that was stopped for 4 s handled replies that had arrived meanwhile before it stepped down, and each sent a lease of 4 s from then on, longer than its successor waits (6 s from its own start).

Change: each heartbeat begins a numbered round; when a quorum has replied to it, the replica led when it began (Replica::LeadershipConfirmedAt). Leases are counted from there. Read barriers use the same rounds, as before, and no more messages are sent.

The two barrier tests took the numbers of rounds as given; they now read them from the heartbeats sent, and also check that an earlier round resolves nothing.

--- a/libs/consensus/include/consensus/message.h
+++ b/libs/consensus/include/consensus/message.h
@@ -21,7 +21,7 @@
   kVoteReply,
   kAppend,  // log records that follow `index`
   kAppendReply,
-  kHeartbeat,  // resets election timers; carries a read barrier round
+  kHeartbeat,  // resets election timers; carries the number of its round
   kHeartbeatReply,
   kSnapshot,  // one chunk of a snapshot stream
   kSnapshotReply,
@@ -63,7 +63,7 @@
       false;   // vote: requested by the leader that transfers leadership
   Index hint;  // append rejection: index of a record that may match
 
-  uint64_t round = 0;  // heartbeat and its reply: read barrier round
+  uint64_t round = 0;  // heartbeat and its reply: heartbeat round
 
   // Snapshot chunks and their replies. `offset` is the position of `data` in
   // the snapshot in bytes; in a reply, the position of the next byte to send.
--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -225,6 +225,10 @@
   // member or this replica the leader, if that was later. Empty on other
   // replicas.
   std::map<ReplicaId, base::Instant> Contacts() const;
+  // On a leader, returns the latest time at which a quorum is known to have
+  // followed it: no later leader was elected before. Returns std::nullopt on
+  // other replicas, and until a quorum has replied to a heartbeat of this term.
+  std::optional<base::Instant> LeadershipConfirmedAt() const;
   // On a leader, returns the number of learners that have caught up and could
   // vote now. 0 on other replicas.
   size_t CountReadyLearners() const;
--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -80,8 +80,7 @@
     return;
   }
   if (now_ >= heartbeat_at_) {
-    StartBarrierRound();
-    BroadcastHeartbeat();
+    StartRound();
   }
   for (Peer& peer : peers_ | std::views::values) {
     ResendIfTimedOut(peer);
@@ -101,10 +100,8 @@
   for (Peer& peer : peers_ | std::views::values) {
     Replicate(peer);
   }
-  if (confirmed_round_ == barrier_round_) {
-    StartBarrierRound();
-  }
-  ResolveBarriers();
+  StartBarrierRound();
+  ConfirmRounds();
 }
 
 Effects Replica::Core::FinishStep() {
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -45,6 +45,9 @@
   Index SnapshotIndex() const;
   std::optional<Index> MatchOf(const ReplicaId& id) const;
   std::map<ReplicaId, base::Instant> Contacts() const;
+  std::optional<base::Instant> LeadershipConfirmedAt() const {
+    return leadership_confirmed_at_;
+  }
   size_t CountReadyLearners() const;
   const std::set<ReplicaId>& Votes() const { return votes_; }
   bool HasCommittedInTerm() const;
@@ -164,7 +167,8 @@
 
   // --- barrier.cc ---
   void StartBarrierRound();
-  void ResolveBarriers();
+  void StartRound();
+  void ConfirmRounds();
   uint64_t QuorumRound() const;
 
   Options options_;
@@ -243,9 +247,16 @@
   std::deque<PendingProposal> pending_proposals_;  // by increasing index
   size_t uncommitted_bytes_ = 0;
   std::deque<Barrier> barriers_;
-  uint64_t barrier_round_ = 0;  // last round started; never decreases
-  uint64_t confirmed_round_ =
-      0;  // last round confirmed by a quorum; at most barrier_round_
+  // A heartbeat round that no quorum has confirmed yet.
+  struct Round {
+    uint64_t number = 0;
+    base::Instant begin;
+  };
+  uint64_t last_round_ = 0;        // last round started; never decreases
+  uint64_t confirmed_round_ = 0;   // by a quorum; at most last_round_
+  std::deque<Round> open_rounds_;  // by increasing number
+  // When the last round confirmed in this term began.
+  std::optional<base::Instant> leadership_confirmed_at_;
   std::optional<Transfer> transfer_;
 
   // --- snapshots of this replica's state machine ---
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -184,12 +184,14 @@
   peers_.clear();
   barriers_.clear();
   transfer_.reset();
-  confirmed_round_ = barrier_round_;
+  confirmed_round_ = last_round_;
+  open_rounds_.clear();
+  leadership_confirmed_at_.reset();
   uncommitted_bytes_ = log_.PayloadBytes(commit_index_, log_.Last());
   term_start_index_ = log_.Last().Next();
   RefreshPeers();
   AppendAsLeader(RecordKind::kNoop, {});
-  BroadcastHeartbeat();
+  StartRound();
 }
 
 // Resolves all pending requests and clears the leader's state. Appended records
@@ -205,6 +207,8 @@
   }
   pending_proposals_.clear();
   barriers_.clear();
+  open_rounds_.clear();
+  leadership_confirmed_at_.reset();
   peers_.clear();
   transfer_.reset();
 }
--- a/libs/consensus/src/peer.h
+++ b/libs/consensus/src/peer.h
@@ -31,7 +31,7 @@
   // received.
   base::Instant sent_at;
   base::Instant contact_at;  // last reply of any kind
-  uint64_t round = 0;        // highest read barrier round it confirmed
+  uint64_t round = 0;        // last heartbeat round it has replied to
 
   std::optional<Snapshot> snapshot;  // kSnapshot: the snapshot being streamed
   uint64_t offset = 0;  // kSnapshot: bytes that the peer has received
--- a/libs/consensus/src/replica.cc
+++ b/libs/consensus/src/replica.cc
@@ -103,6 +103,10 @@
   return core_->MatchOf(id);
 }
 
+std::optional<base::Instant> Replica::LeadershipConfirmedAt() const {
+  return core_->LeadershipConfirmedAt();
+}
+
 std::map<ReplicaId, base::Instant> Replica::Contacts() const {
   return core_->Contacts();
 }
--- a/libs/consensus/src/replication.cc
+++ b/libs/consensus/src/replication.cc
@@ -217,8 +217,7 @@
   Peer* peer = FindPeer(message.from.id);
   if (IsLeader() && peer != nullptr) {
     peer->contact_at = now_;
-    peer->round =
-        std::max(peer->round, std::min(message.round, barrier_round_));
+    peer->round = std::max(peer->round, std::min(message.round, last_round_));
   }
 }
 
@@ -300,7 +299,7 @@
     // A follower's records after match_index may still conflict with the
     // leader's.
     message.commit = std::min(commit_index_, peer.match_index);
-    message.round = barrier_round_;
+    message.round = last_round_;
     Send(std::move(message));
   }
 }
--- a/libs/consensus/test/cluster.cc
+++ b/libs/consensus/test/cluster.cc
@@ -228,7 +228,9 @@
     if (!is_new && it->second != host.disk.id) {
       RecordViolation("two leaders were elected in one term");
     }
+    elected_at_.emplace(effects.role_change->term, Time());
   }
+  CheckLeadership(*host.replica);
   if (effects.take_snapshot_at) {
     Step(i, SnapshotTaken{
                 *effects.take_snapshot_at,
@@ -236,6 +238,16 @@
   }
 }
 
+// A leader may not know yet that a later one was elected, but must not claim to
+// have led since then.
+void Cluster::CheckLeadership(const Replica& replica) {
+  const auto confirmed = replica.LeadershipConfirmedAt();
+  const auto later = elected_at_.upper_bound(replica.GetTerm());
+  if (confirmed && later != elected_at_.end() && *confirmed > later->second) {
+    RecordViolation("leadership was confirmed after a later election");
+  }
+}
+
 // --- reference log ---
 
 void Cluster::Apply(Host& host, const Record& record) {
--- a/libs/consensus/test/cluster.h
+++ b/libs/consensus/test/cluster.h
@@ -107,6 +107,7 @@
   void HandleEffects(size_t i, const Effects& effects);
   void Apply(Host& host, const Record& record);
   void OnResolved(const Resolved& resolved);
+  void CheckLeadership(const Replica& replica);
   void RecordViolation(const std::string& what);
   std::optional<size_t> FindHost(const ReplicaId& id) const;
 
@@ -115,6 +116,7 @@
   std::set<std::pair<size_t, size_t>> blocked_links_;
   std::map<Token, Request> requests_;
   std::map<Term, ReplicaId> leader_by_term_;
+  std::map<Term, base::Instant> elected_at_;
   std::set<std::string> not_run_commands_;
   uint64_t next_token_ = 1;
   std::string violation_;
--- a/libs/consensus/test/rules_test.cc
+++ b/libs/consensus/test/rules_test.cc
@@ -136,6 +136,15 @@
                                         : ConsensusError::kNone;
   }
 
+  // Returns the heartbeat round that began in `effects`, or 0.
+  static uint64_t RoundOf(const Effects& effects) {
+    uint64_t round = 0;
+    for (const Message& it : effects.messages) {
+      round = it.kind == MessageKind::kHeartbeat ? it.round : round;
+    }
+    return round;
+  }
+
   static bool HasMessage(const Effects& effects,
                          MessageKind kind,
                          bool granted) {
@@ -299,15 +308,19 @@
 TEST_F(RulesTest, BarrierNeedsARoundThatBeganAfterIt) {
   StartReplica();
   BecomeLeaderAndCommit();
-  Step(ReadBarrier{Token(1)});
+  const uint64_t round = RoundOf(Step(ReadBarrier{Token(1)}));
   Step(ReadBarrier{Token(2)});
   Message reply = MakeMessage(kB, MessageKind::kHeartbeatReply, 2);
-  reply.round = 1;
+  reply.round = round - 1;
+  EXPECT_TRUE(Deliver(reply).resolved.empty());
+  reply.round = round;
   const auto first = Deliver(reply);
   ASSERT_EQ(first.resolved.size(), 1U);
   EXPECT_EQ(first.resolved[0].token, Token(1));
-  EXPECT_TRUE(Deliver(reply).resolved.empty());
-  reply.round = 2;
+  const auto repeated = Deliver(reply);
+  EXPECT_TRUE(repeated.resolved.empty());
+  EXPECT_EQ(RoundOf(repeated), round + 1);
+  reply.round = round + 1;
   const auto second = Deliver(reply);
   ASSERT_EQ(second.resolved.size(), 1U);
   EXPECT_EQ(second.resolved[0].outcome, Outcome::kBarrierPassed);
@@ -321,10 +334,28 @@
   Message reply = MakeMessage(kB, MessageKind::kHeartbeatReply, 2);
   reply.round = 1;
   EXPECT_TRUE(Deliver(reply).resolved.empty());
-  Deliver(Ack(kB, 3));
+  reply.round = RoundOf(Deliver(Ack(kB, 3)));
   EXPECT_EQ(Deliver(reply).resolved.size(), 1U);
 }
 
+// The reply took its time, in which another leader may have been elected.
+TEST_F(RulesTest, LeadershipIsConfirmedAsOfTheBeginOfARound) {
+  StartReplica();
+  BecomeLeaderAndCommit();
+  EXPECT_FALSE(replica_->LeadershipConfirmedAt());
+  now_ = replica_->NextDeadline();
+  const base::Instant begin = now_;
+  const uint64_t round = RoundOf(Step(Tick{}));
+  now_ += std::chrono::milliseconds(50);
+  Message reply = MakeMessage(kB, MessageKind::kHeartbeatReply, 2);
+  reply.round = round;
+  Deliver(reply);
+  EXPECT_EQ(replica_->LeadershipConfirmedAt(), begin);
+  now_ += std::chrono::seconds(4);
+  Step(Tick{});
+  EXPECT_FALSE(replica_->LeadershipConfirmedAt()) << "it has stepped down";
+}
+
 TEST_F(RulesTest, MembershipChangesDoNotOverlap) {
   StartReplica();
   BecomeLeaderAndCommit();
--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -55,6 +55,9 @@
                            AdviceDone done) = 0;
   // Runs `then` after the tasks that are already queued on the control thread.
   virtual void Defer(std::function<void()> then) = 0;
+  // Returns the latest time at which no later leader had been elected, or
+  // nullopt if that isn't known yet.
+  virtual std::optional<base::Instant> LeadershipConfirmedAt() const = 0;
   virtual base::Instant Now() const = 0;
   virtual base::WallMs WallNow() const = 0;
 };
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -335,6 +335,9 @@
     boost::asio::post(kernel_.control(), std::move(then));
   }
 
+  std::optional<base::Instant> LeadershipConfirmedAt() const override {
+    return replica().LeadershipConfirmedAt();
+  }
   base::Instant Now() const override { return kernel::MonotonicNow(); }
   base::WallMs WallNow() const override { return kernel::WallNow(); }
 
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -166,6 +166,7 @@
 size_t Leader::SendPendingCalls(jobs::WorkerSession& session) {
   const base::Instant now = context_.Now();
   const jobs::WorkerBoot boot = session.boot();
+  session.OnLeadership(context_.LeadershipConfirmedAt());
   const auto orders = session.TakeOrders(now);
   size_t calls = orders.size();
   for (const jobs::OrderCall& call : orders) {
--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -72,6 +72,9 @@
   void Defer(std::function<void()> then) override {
     deferred_.push_back(std::move(then));
   }
+  std::optional<base::Instant> LeadershipConfirmedAt() const override {
+    return leads_at ? leads_at : now_;
+  }
   base::Instant Now() const override { return now_; }
   base::WallMs WallNow() const override { return 0; }
 
@@ -153,6 +156,8 @@
         .count();
   }
 
+  // The last time at which the leader is known to have led; now if unset.
+  std::optional<base::Instant> leads_at;
   std::vector<SentOrder> orders;
   std::vector<SentHold> holds;
   std::vector<SentQuery> queries;
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -99,6 +99,20 @@
   EXPECT_GT(context_.Now() - ordered, milliseconds(4000));
 }
 
+// The process of a leader was stopped for 4 s. It went on with a lease of its
+// workers that outlived the time for which its successor waits.
+TEST_F(LeaderTest, ALeaderThatWasStoppedExtendsLeasesOnlyAsOfItsLastProof) {
+  AddWorker("w");
+  context_.AnswerHolds({});
+  const int64_t led_until = context_.ClockMs();
+  context_.leads_at = context_.Now();
+  context_.Advance(milliseconds(4000));
+  // The reply had arrived while the process was stopped.
+  context_.AnswerHolds({});
+  ASSERT_EQ(context_.holds.size(), 1U);
+  EXPECT_LE(context_.holds[0].call.lease_until_ms, led_until + 4000);
+}
+
 // A disconnected worker may return as the same boot, take work again and be
 // lost later. The leader must not skip it as already removed.
 TEST_F(LeaderTest, AReturnedWorkerIsDeclaredLostAgain) {
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -31,8 +31,12 @@
 
   // Returns the lease bound to send with a call at `now`, in ms on the worker's
   // clock, or nullopt while that clock is unknown. The call may take effect at
-  // any later time.
-  std::optional<int64_t> Extend(base::Instant now, base::Duration length);
+  // any later time. The bound is at most `length` after `leads_at`, the last
+  // time at which this process is known to have led, because a later leader
+  // counts from its own start. A bound that was sent before isn't shortened.
+  std::optional<int64_t> Extend(base::Instant now,
+                                base::Instant leads_at,
+                                base::Duration length);
 
   // Whether every bound that was ever sent has passed.
   bool IsExpired(base::Instant now) const;
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -134,6 +134,10 @@
   // The worker sent a heartbeat that changed nothing, some time before `now`.
   void OnHeard(int64_t clock_ms, base::Instant now);
 
+  // This process is known to have led at `at`, and maybe not later; nullopt if
+  // that isn't known yet. Until the first call, it led when the session began.
+  void OnLeadership(std::optional<base::Instant> at) { leads_at_ = at; }
+
   void Start(StartOrder order);
   // Stops a run. If its start was never sent, the run ends at once and its end
   // is returned.
@@ -216,10 +220,13 @@
                                      bool is_running) const;
   bool IsSilent(base::Instant now) const;
   bool MayBeLost(base::Instant now) const;
+  // Returns the lease bound to send now; 0 leaves the lease unchanged.
+  int64_t ExtendLease(base::Instant now);
 
   WorkerInfo info_;
   SessionOptions options_;
   WorkerLease lease_;
+  std::optional<base::Instant> leads_at_;
   std::map<RunKey, RunState> runs_;
   std::vector<PaceOrder> unsent_paces_;
   bool may_have_due_orders_ = false;  // false if no run needs an order
--- a/libs/jobs/src/lease.cc
+++ b/libs/jobs/src/lease.cc
@@ -28,13 +28,15 @@
 }
 
 std::optional<int64_t> WorkerLease::Extend(base::Instant now,
+                                           base::Instant leads_at,
                                            base::Duration length) {
   if (!clock_ms_) {
     return std::nullopt;
   }
-  const auto length_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-  latest_bound_ms_ = std::max(latest_bound_ms_, ClockAt(now) + length_ms);
+  using std::chrono::milliseconds;
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(length - (now - leads_at));
+  latest_bound_ms_ = std::max(latest_bound_ms_, ClockAt(now) + left.count());
   return latest_bound_ms_;
 }
 
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -33,6 +33,7 @@
     : info_(record.info),
       options_(options),
       lease_(now, options.max_lease),
+      leads_at_(now),
       last_reply_(now),
       last_heard_(now),
       recorded_cursor_(record.end_cursor),
@@ -101,10 +102,8 @@
     return calls;
   }
   const auto add_call = [&](Order order, InFlight in_flight) {
-    const auto until =
-        MayBeLost(now) ? std::nullopt : lease_.Extend(now, options_.lease);
     in_flight_.emplace(++last_call_, std::move(in_flight));
-    calls.push_back({last_call_, std::move(order), until.value_or(0)});
+    calls.push_back({last_call_, std::move(order), ExtendLease(now)});
   };
   may_have_due_orders_ = false;
   for (auto& [key, state] : runs_) {
@@ -231,9 +230,7 @@
   }
   HoldCall call;
   call.end_cursor = recorded_cursor_;
-  if (!MayBeLost(now)) {
-    call.lease_until_ms = lease_.Extend(now, options_.lease).value_or(0);
-  }
+  call.lease_until_ms = ExtendLease(now);
   if (has_replied_) {
     call.wait = kHoldWait;
   }
@@ -327,12 +324,19 @@
   return now - last_reply_ > kMaxSilence;
 }
 
-// The lease of a worker that may be lost isn't renewed, so that its tasks can
-// soon be restarted elsewhere.
 bool WorkerSession::MayBeLost(base::Instant now) const {
   return has_last_hold_failed_ || IsSilent(now);
 }
 
+// The lease of a worker that may be lost isn't renewed, so that its tasks can
+// soon be restarted elsewhere.
+int64_t WorkerSession::ExtendLease(base::Instant now) {
+  if (MayBeLost(now) || !leads_at_) {
+    return 0;
+  }
+  return lease_.Extend(now, *leads_at_, options_.lease).value_or(0);
+}
+
 bool WorkerSession::IsUsable(base::Instant now) const {
   return has_replied_ && !MayBeLost(now) && now >= unhealthy_until_ &&
          !info_.is_draining;
