Leave: a worker that leaves may run on until its lease has ended

What callers saw: a task ran twice at the same time, for as long as a leaving worker took to end after its notice.

Cause: Leader::OnLeave recorded the worker as removed, with all its runs, when the notice came. PROTOCOL.md: "If it receives no acknowledgement, it ends anyway, some seconds later."

Change: the worker gets no new work and no longer lease, and its runs are stopped. They go on elsewhere when their end is reported, a later boot is heard or the lease has ended. The lease of a draining worker is 2 s. The notice is answered at once.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -89,8 +89,9 @@
   void OnHeartbeat(jobs::WorkerInfo worker, int64_t clock_ms, RecordDone done);
   // Another control host has answered a heartbeat that changed nothing.
   void OnHeard(const jobs::WorkerBoot& worker, int64_t clock_ms);
-  // Removes a worker whose process is exiting and runs no tasks any more.
-  void OnLeave(const jobs::WorkerBoot& worker, RecordDone done);
+  // The worker's process is about to exit, and still runs its tasks. They are
+  // stopped, and the worker is removed when they are over. `done` runs at once.
+  void OnLeave(const jobs::WorkerBoot& worker, const RecordDone& done);
 
   // Must be called after the table applied a batch of this or an earlier
   // leader.
@@ -152,6 +153,8 @@
   void Dispatch(const jobs::StartRun& start);
   void StopRunsOf(const wire::JobId& job);
   void StopSurplusRun(const jobs::StartRun& run);
+  void StopRunsOn(jobs::WorkerSession& session,
+                  const jobs::WorkerRecord& record);
   // Withdraws starts that no longer fit on the worker.
   void StopUnfittingStarts(const jobs::WorkerBoot& worker);
   bool IsWanted(const jobs::TaskKey& task) const;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -144,9 +144,24 @@
   }
 }
 
-void Leader::OnLeave(const jobs::WorkerBoot& worker, RecordDone done) {
-  batch_.removed_workers.push_back(worker);
-  batch_callbacks_.push_back(std::move(done));
+// The process that leaves may go on for a while, also because it waits for this
+// reply or doesn't get it. It is stopped from running on beside runs that are
+// started elsewhere: by orders, which also save checkpoints, and otherwise by the
+// end of its lease.
+void Leader::OnLeave(const jobs::WorkerBoot& worker, const RecordDone& done) {
+  done(RecordResult::kRecorded);
+  jobs::WorkerSession* session = FindSession(worker);
+  const jobs::WorkerRecord* record = context_.table().FindWorker(worker.id);
+  if (session == nullptr || record == nullptr) {
+    return;
+  }
+  Decision("leave")
+      .With("worker", worker.id)
+      .With("boot", worker.started_ms)
+      .With("runs", record->runs.size())
+      .Write();
+  session->OnLeave();
+  StopRunsOn(*session, *record);
   Flush();
 }
 
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -91,6 +91,16 @@
   SendPendingCalls(*session);
 }
 
+void Leader::StopRunsOn(jobs::WorkerSession& session,
+                        const jobs::WorkerRecord& record) {
+  for (const jobs::OpenRun& run : record.runs) {
+    if (auto end = session.Stop(run.task, run.run)) {
+      AddEnd(*std::move(end));
+    }
+  }
+  SendPendingCalls(session);
+}
+
 // A worker whose capacity has shrunk carries out starts all the same. Runs that
 // it has confirmed go on.
 void Leader::StopUnfittingStarts(const jobs::WorkerBoot& worker) {
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -134,6 +134,11 @@
   // The worker sent a heartbeat that changed nothing, some time before `now`.
   void OnHeard(int64_t clock_ms, base::Instant now);
 
+  // The worker has announced that its process is about to exit. It gets no new
+  // work and no longer lease; its runs are over when they are reported so, or
+  // when the lease has expired.
+  void OnLeave() { is_leaving_ = true; }
+
   // This process is known to have led at `at`, and maybe not later; nullopt if
   // that isn't known yet. Until the first call, it led when the session began.
   void OnLeadership(std::optional<base::Instant> at) { leads_at_ = at; }
@@ -163,8 +168,9 @@
   // Whether the worker can get new work: it has replied recently to this
   // leader, is healthy and isn't draining.
   bool IsUsable(base::Instant now) const;
-  // Whether none of its runs can still be running, because it is silent and its
-  // lease has expired. Refused connections don't prove that earlier.
+  // Whether none of its runs can still be running, because it is silent or has
+  // said that it leaves, and its lease has expired. Refused connections don't
+  // prove that earlier.
   bool IsLost(base::Instant now) const;
   // Whether it has refused connections since its last sign of life. Its process
   // has probably exited, but may as well be cut off.
@@ -240,6 +246,7 @@
   // When the first refused hold since the last sign of life was refused;
   // nullopt if none was refused.
   std::optional<base::Instant> refused_since_;
+  bool is_leaving_ = false;
   base::Instant unhealthy_until_;
   bool has_open_hold_ = false;
   base::Instant hold_sent_;
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -21,6 +21,9 @@
 // A worker that has not replied to a hold for longer than this gets no new work
 // and no lease renewal.
 constexpr auto kMaxSilence = std::chrono::milliseconds(1600);
+// Lease of a draining worker, which may leave at any time; it covers a hold and
+// the delay of the next one.
+constexpr base::Duration kDrainingLease = std::chrono::milliseconds(2000);
 constexpr auto kUnhealthyPause = std::chrono::milliseconds(1000);
 // A list of run ends that reaches this length may be truncated.
 constexpr size_t kMaxListedEnds = 500;
@@ -328,22 +331,25 @@
   return has_last_hold_failed_ || IsSilent(now);
 }
 
-// The lease of a worker that may be lost isn't renewed, so that its tasks can
-// soon be restarted elsewhere.
+// The lease of a worker that leaves or may be lost isn't renewed, so that its
+// tasks can soon be restarted elsewhere.
 int64_t WorkerSession::ExtendLease(base::Instant now) {
-  if (MayBeLost(now) || !leads_at_) {
+  if (MayBeLost(now) || is_leaving_ || !leads_at_) {
     return 0;
   }
-  return lease_.Extend(now, *leads_at_, options_.lease).value_or(0);
+  const base::Duration length =
+      info_.is_draining ? std::min(options_.lease, kDrainingLease)
+                        : options_.lease;
+  return lease_.Extend(now, *leads_at_, length).value_or(0);
 }
 
 bool WorkerSession::IsUsable(base::Instant now) const {
   return has_replied_ && !MayBeLost(now) && now >= unhealthy_until_ &&
-         !info_.is_draining;
+         !info_.is_draining && !is_leaving_;
 }
 
 bool WorkerSession::IsLost(base::Instant now) const {
-  return IsSilent(now) && lease_.IsExpired(now);
+  return (IsSilent(now) || is_leaving_) && lease_.IsExpired(now);
 }
 
 base::Instant WorkerSession::LastSignOfLife() const {
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -77,6 +77,20 @@
   EXPECT_LT(ms, 6500);
 }
 
+// A worker that drains may leave at any time, after which its tasks wait for the
+// end of its lease.
+TEST_F(WorkerSessionTest, TheLeaseOfADrainingWorkerIsShort) {
+  Poll(1);
+  WorkerInfo draining = Worker("w");
+  draining.is_draining = true;
+  session_->OnHeartbeat(draining, 7000, At(6000));
+  Poll(6000);
+  session_->OnLeadership(At(6002));
+  const auto hold = session_->TakeHold(At(6002));
+  ASSERT_TRUE(hold);
+  EXPECT_EQ(hold->lease_until_ms, 9000);
+}
+
 TEST_F(WorkerSessionTest, RefusedConnectionsAreTakenBackByASignOfLife) {
   Poll(1);
   EXPECT_FALSE(session_->RefusesConnections());
