Losses: a worker whose loss is proposed gets no call

What callers may have seen: a task that runs twice for a moment. A start had got no answer and its worker was silent until its lease had ended; when it answered before the loss was recorded, the start was repeated, with a new lease, while the batch that closed the run was on its way. Found by reading.

Change: no call is made to a worker whose removal is in a batch, and a refused batch proposes the removal again together with the ends.

RemovedWorkerTest.AReturnWhileTheLossIsRecordedRepeatsNoStart and ALossThatWasNotRecordedIsProposedAgain. Both seen failing without the guard, the second also without the repeated removal.

--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -146,8 +146,8 @@
 
 // The process that leaves may go on for a while, also because it waits for this
 // reply or doesn't get it. It is stopped from running on beside runs that are
-// started elsewhere: by orders, which also save checkpoints, and otherwise by the
-// end of its lease.
+// started elsewhere: by orders, which also save checkpoints, and otherwise by
+// the end of its lease.
 void Leader::OnLeave(const jobs::WorkerBoot& worker, const RecordDone& done) {
   done(RecordResult::kRecorded);
   jobs::WorkerSession* session = FindSession(worker);
@@ -235,10 +235,11 @@
     }
     metrics_.jobs_accepted.Add(batch.jobs.size());
   } else {
-    workers_being_removed_.clear();
-    // The worker sessions don't report these ends again, so retry them in the
-    // next batch.
+    // The worker sessions don't report these ends again, and the losses stay
+    // proved, so retry them in the next batch.
     std::ranges::copy(batch.ends, std::back_inserter(batch_.ends));
+    std::ranges::copy(batch.removed_workers,
+                      std::back_inserter(batch_.removed_workers));
     std::ranges::copy(batch.cursors, std::back_inserter(batch_.cursors));
     std::ranges::copy(batch.proven_runs,
                       std::back_inserter(batch_.proven_runs));
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -176,6 +176,11 @@
 size_t Leader::SendPendingCalls(jobs::WorkerSession& session) {
   const base::Instant now = context_.Now();
   const jobs::WorkerBoot boot = session.boot();
+  // Its runs are about to be recorded as ended, so none may be started, or be
+  // kept alive, until the removal is recorded.
+  if (workers_being_removed_.contains(boot)) {
+    return 0;
+  }
   session.OnLeadership(context_.LeadershipConfirmedAt());
   const auto orders = session.TakeOrders(now);
   size_t calls = orders.size();
