Workers: the clock of another boot ends no lease

Cause: an answer 421 comes from another boot and carries its clock, which was taken for a reading of the worker's own: a clock far ahead ended the lease here while the worker ran on.

Change: the clock of such an answer counts for nothing.

WorkerSessionTest.TheClockOfAnotherBootEndsNoLease. Failed before.

--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -141,7 +141,8 @@
 std::optional<EndRun> WorkerSession::OnOrderReply(uint64_t id,
                                                   const OrderReply& reply,
                                                   base::Instant now) {
-  if (reply.clock_ms) {
+  // A reply of another boot tells another clock.
+  if (reply.clock_ms && reply.result != OrderResult::kOtherBoot) {
     last_heard_ = now;
     lease_.OnClock(now, *reply.clock_ms);
   }
@@ -337,9 +338,9 @@
   if (MayBeLost(now) || is_leaving_ || !leads_at_) {
     return 0;
   }
-  const base::Duration length =
-      info_.is_draining ? std::min(options_.lease, kDrainingLease)
-                        : options_.lease;
+  const base::Duration length = info_.is_draining
+                                    ? std::min(options_.lease, kDrainingLease)
+                                    : options_.lease;
   return lease_.Extend(now, *leads_at_, length).value_or(0);
 }
 
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -62,9 +62,10 @@
   std::optional<WorkerSession> session_;
 };
 
-// A host on the way to a worker that is cut off refused connections in its place,
-// and tasks that ran there were started again beside their first runs.
-TEST_F(WorkerSessionTest, AWorkerThatRefusesConnectionsRunsOnUntilItsLeaseEnds) {
+// A host on the way to a worker that is cut off refused connections in its
+// place, and tasks that ran there were started again beside their first runs.
+TEST_F(WorkerSessionTest,
+       AWorkerThatRefusesConnectionsRunsOnUntilItsLeaseEnds) {
   Poll(1);
   int64_t ms = 100;
   while (!session_->IsLost(At(ms)) && ms < 20'000) {
@@ -77,8 +78,8 @@
   EXPECT_LT(ms, 6500);
 }
 
-// A worker that drains may leave at any time, after which its tasks wait for the
-// end of its lease.
+// A worker that drains may leave at any time, after which its tasks wait for
+// the end of its lease.
 TEST_F(WorkerSessionTest, TheLeaseOfADrainingWorkerIsShort) {
   Poll(1);
   WorkerInfo draining = Worker("w");
@@ -115,6 +116,20 @@
   EXPECT_FALSE(session_->IsLost(At(3000)));
 }
 
+// The clock of another boot at the address said nothing about the lease of this
+// one, which seemed to have ended.
+TEST_F(WorkerSessionTest, TheClockOfAnotherBootEndsNoLease) {
+  Poll(0);
+  StartTask();
+  session_->OnLeadership(At(7000));
+  Poll(7000);
+  const auto calls = session_->TakeOrders(At(7001));
+  ASSERT_EQ(calls.size(), 1U);
+  session_->OnOrderReply(calls[0].id, {OrderResult::kOtherBoot, 900'000},
+                         At(7002));
+  EXPECT_FALSE(session_->IsLost(At(9000)));
+}
+
 TEST_F(WorkerSessionTest, SendsNoOrdersBeforeTheFirstHoldReply) {
   StartTask();
   EXPECT_TRUE(session_->TakeOrders(At(1)).empty());
