Workers: one that may be lost is told to forget no ends

Cause: a worker that starts again under its id numbers its ends anew, and a hold meant for the boot before told it to forget ends up to a number that it hadn't reached. An end that is forgotten unread is a task that runs again although it is done. Found by reading.

Change: a hold to a worker that may be lost acknowledges nothing; ends that are reported again are known by their numbers.

WorkerSessionTest.AWorkerThatMayBeLostIsToldToForgetNoEnds. Failed before.

--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -233,7 +233,9 @@
     return std::nullopt;
   }
   HoldCall call;
-  call.end_cursor = recorded_cursor_;
+  // A later boot that has taken the place of a worker numbers its ends anew,
+  // and must not forget those that nobody has read.
+  call.end_cursor = MayBeLost(now) ? 0 : recorded_cursor_;
   call.lease_until_ms = ExtendLease(now);
   if (has_replied_) {
     call.wait = kHoldWait;
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -130,6 +130,25 @@
   EXPECT_FALSE(session_->IsLost(At(9000)));
 }
 
+// A worker that starts again under its id numbers its ends anew. A call meant
+// for the boot before made it forget ends that nobody had read.
+TEST_F(WorkerSessionTest, AWorkerThatMayBeLostIsToldToForgetNoEnds) {
+  HoldReply reply;
+  reply.ended = {{7, Task("j"), 1, RunOutcome::kDone, ""}};
+  Poll(0, reply);
+  session_->OnRecorded(7);
+  auto hold = session_->TakeHold(At(2));
+  ASSERT_TRUE(hold);
+  EXPECT_EQ(hold->end_cursor, 7U);
+  session_->OnHoldReply({}, At(3));
+  hold = session_->TakeHold(At(100));
+  ASSERT_TRUE(hold);
+  EXPECT_EQ(hold->end_cursor, 0U);
+  reply.is_answered = true;
+  EXPECT_TRUE(session_->OnHoldReply(reply, At(101)).ends.empty())
+      << "the end is recorded already";
+}
+
 TEST_F(WorkerSessionTest, SendsNoOrdersBeforeTheFirstHoldReply) {
   StartTask();
   EXPECT_TRUE(session_->TakeOrders(At(1)).empty());
