Tests: no task has two runs at once, whatever proves the end of a run

A call to a worker that was down when it was made doesn't reach its next process, as a connection ends with its process; with calls that did, the test showed a start that the next boot under the same id carries out (docs/PLATFORM.md, open questions).

--- /dev/null
+++ b/libs/jobcontrol/test/simulated_workers.h
@@ -0,0 +1,118 @@
+// Workers with leases, fencing tokens and clocks of their own, as the
+// platform's protocol describes them, and links to them that fail in several
+// ways.
+
+#ifndef JOBCONTROL_TEST_SIMULATED_WORKERS_H_
+#define JOBCONTROL_TEST_SIMULATED_WORKERS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "leader_fixture.h"
+
+namespace sassafras::jobcontrol {
+
+enum class Link {
+  kOpen,
+  kRefused,      // somebody on the way refuses connections
+  kSilent,       // calls and heartbeats get lost
+  kOneWay,       // calls get lost, heartbeats arrive
+  kLostReplies,  // calls are carried out, and their replies get lost
+  kLate,         // starts are carried out later, without a reply
+};
+
+class SimulatedWorkers {
+ public:
+  explicit SimulatedWorkers(FakeLeaderContext& context) : context_(context) {}
+
+  void Add(const jobs::WorkerInfo& info, double clock_rate);
+  void SetLink(size_t worker, Link link, milliseconds time);
+  // Ends the worker's process and its connections; it starts again under its id
+  // after `down_time`.
+  void Crash(size_t worker, milliseconds down_time);
+  // The worker says that it leaves, and ends after `delay`.
+  void Leave(size_t worker, milliseconds delay);
+
+  // Lets all workers reach the time of the context: runs end, leases expire,
+  // links heal and heartbeats are sent.
+  void Advance();
+  // Carries out the calls that were made, or loses them.
+  void TakeCalls();
+  // The calls in flight stay without a reply; starts among them may be carried
+  // out later.
+  void LoseReplies();
+
+  size_t size() const { return workers_.size(); }
+  // Returns the first broken rule, or an empty string.
+  const std::string& Violation() const { return violation_; }
+
+ private:
+  struct Running {
+    jobs::TaskKey task;
+    uint64_t run = 0;
+    milliseconds started{};
+  };
+  struct Worker {
+    jobs::WorkerInfo info;
+    double clock_rate = 1;
+    bool is_up = true;
+    milliseconds up_since{};
+    milliseconds back_at{};
+    milliseconds ends_at = milliseconds::max();  // of its process
+    milliseconds next_heartbeat{};
+    Link link = Link::kOpen;
+    milliseconds link_heals_at{};
+    uint64_t fencing_token = 0;
+    int64_t lease_until_ms = 0;
+    std::vector<Running> runs;
+    std::map<jobs::TaskKey, uint64_t> highest_ended;
+    std::vector<jobs::EndReport> ended;
+    uint64_t last_end = 0;
+  };
+  // A call whose caller waits for the reply in vain.
+  struct Unanswered {
+    std::string address;
+    milliseconds until{};
+    std::function<void()> give_up;
+  };
+  struct LateStart {
+    milliseconds at{};
+    std::string address;
+    jobs::WorkerBoot boot;
+    jobs::OrderCall call;
+    uint64_t fencing_token = 0;
+  };
+
+  milliseconds Now() const;
+  bool IsListening(const Worker& worker) const;
+  int64_t ClockMs(const Worker& worker) const;
+  bool ExtendLease(Worker& worker, int64_t until_ms, uint64_t fencing_token);
+  void EndRuns(Worker& worker);
+  void Restart(Worker& worker);
+  void SendHeartbeat(Worker& worker);
+  void TakeOrder(FakeLeaderContext::SentOrder order);
+  void TakeHold(FakeLeaderContext::SentHold hold);
+  jobs::OrderReply CarryOut(Worker& worker,
+                            const jobs::OrderCall& call,
+                            uint64_t fencing_token);
+  jobs::OrderResult Start(Worker& worker,
+                          const jobs::StartOrder& order,
+                          int64_t until_ms);
+  jobs::HoldReply CarryOut(Worker& worker,
+                           const jobs::HoldCall& call,
+                           uint64_t fencing_token);
+  void End(Worker& worker, const Running& run, jobs::RunOutcome outcome);
+  void CheckStart(const Worker& worker, const jobs::StartOrder& order);
+  Worker& WorkerAt(const std::string& address);
+
+  FakeLeaderContext& context_;
+  std::vector<Worker> workers_;
+  std::vector<Unanswered> unanswered_;
+  std::vector<LateStart> late_starts_;
+  std::string violation_;
+};
+
+}  // namespace sassafras::jobcontrol
+
+#endif  // JOBCONTROL_TEST_SIMULATED_WORKERS_H_
