Leader: waits for the leases of earlier leaders, not for the longest allowed

Since leases count from the last proof of leadership, none ends later than 4 s after the election of the next leader.

Change: SessionOptions::inherited_lease is the lease itself (4 s, or jobs.max_lease_ms if that is shorter). No version may have a longer lease than the next one waits for, as the constant says.

--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -37,7 +37,9 @@
 constexpr auto kHeardPeriod = std::chrono::milliseconds(200);
 // Hosts that sent no hello for this long get no placement queries.
 constexpr auto kAdviserTimeout = std::chrono::milliseconds(1500);
-// The setting jobs.max_lease_ms may shorten it.
+// The setting jobs.max_lease_ms may shorten it. A new leader waits for the
+// leases of earlier ones, which may run another version of the program, so no
+// version may have a longer lease.
 constexpr base::Duration kWorkerLease = std::chrono::milliseconds(4000);
 
 using telemetry::Decision;
@@ -573,8 +575,8 @@
   void BeginTerm() {
     LeaderOptions options;
     options.term = replica().GetTerm().value();
-    options.session.max_lease = settings_.jobs.max_lease;
     options.session.lease = std::min(kWorkerLease, settings_.jobs.max_lease);
+    options.session.inherited_lease = options.session.lease;
     leader_ = Leader::Create(*this, options, leader_metrics_);
   }
 
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -114,8 +114,10 @@
 };
 
 struct SessionOptions {
+  // Counted from the last time at which this process is known to have led.
   base::Duration lease = std::chrono::milliseconds(4000);
-  base::Duration max_lease = std::chrono::milliseconds(6000);
+  // The longest lease that an earlier leader may have given.
+  base::Duration inherited_lease = std::chrono::milliseconds(6000);
 };
 
 // Not thread-safe. Lives for one term of leadership and one boot of a worker.
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -35,7 +35,7 @@
                              base::Instant now)
     : info_(record.info),
       options_(options),
-      lease_(now, options.max_lease),
+      lease_(now, options.inherited_lease),
       leads_at_(now),
       last_reply_(now),
       last_heard_(now),
