Workers: one that refuses connections is asked less often

A refused hold is repeated after 200 ms, not 50; a heartbeat has the next one sent at once. The moment of a crash is noted at the first refusal, not at each.

WorkerSessionTest.AWorkerThatRefusesConnectionsIsAskedLessOften and AWorkerThatIsBackIsAskedAtOnce.

--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -176,8 +176,8 @@
 size_t Leader::SendPendingCalls(jobs::WorkerSession& session) {
   const base::Instant now = context_.Now();
   const jobs::WorkerBoot boot = session.boot();
-  // Its runs are about to be recorded as ended, so none may be started, or be
-  // kept alive, until the removal is recorded.
+  // The runs of a worker that was declared lost are about to be recorded as
+  // ended. Until then, none of them may be started or kept alive.
   if (workers_being_removed_.contains(boot)) {
     return 0;
   }
@@ -236,6 +236,7 @@
     return;
   }
   const bool was_usable = session->IsUsable(context_.Now());
+  const bool has_refused = session->RefusesConnections();
   jobs::HoldOutcome outcome = session->OnHoldReply(reply, context_.Now());
   needs_plan_ |= session->IsUsable(context_.Now()) != was_usable;
   if (!outcome.ends.empty()) {
@@ -247,7 +248,7 @@
   if (reply.is_answered) {
     PaceFillers(*session);
     StopStragglers(*session);
-  } else if (session->RefusesConnections()) {
+  } else if (!has_refused && session->RefusesConnections()) {
     NoteCrash(*session);
   }
   SendPendingCalls(*session);
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -15,6 +15,8 @@
 constexpr auto kOrderRetryDelay = std::chrono::milliseconds(150);
 constexpr auto kHoldWait = std::chrono::milliseconds(700);
 constexpr auto kHoldRetryDelay = std::chrono::milliseconds(50);
+// A worker that refuses connections says by a heartbeat that it is back.
+constexpr auto kRefusedHoldRetryDelay = std::chrono::milliseconds(200);
 // Maximum time that the next hold is delayed while reported run ends are being
 // recorded.
 constexpr auto kMaxRecordDelay = std::chrono::milliseconds(800);
@@ -58,7 +60,10 @@
 // A clock reading that took its time only makes the estimate of the worker's
 // clock lag, which delays the end of a lease here and never there.
 void WorkerSession::OnHeard(int64_t clock_ms, base::Instant now) {
-  refused_since_.reset();
+  if (refused_since_) {
+    refused_since_.reset();
+    next_hold_ = now;
+  }
   last_heard_ = now;
   lease_.OnClock(now, clock_ms);
 }
@@ -253,6 +258,7 @@
   if (!reply.is_answered) {
     next_hold_ = now + kHoldRetryDelay;
     if (reply.is_refused) {
+      next_hold_ = now + kRefusedHoldRetryDelay;
       refused_since_ = refused_since_.value_or(now);
     }
     return outcome;
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -92,6 +92,22 @@
   EXPECT_EQ(hold->lease_until_ms, 9000);
 }
 
+// Each look at a worker is charged, and a session with one that is down lasts
+// as long as its lease.
+TEST_F(WorkerSessionTest, AWorkerThatRefusesConnectionsIsAskedLessOften) {
+  Poll(1);
+  Refuse(100);
+  EXPECT_FALSE(session_->TakeHold(At(250)));
+  EXPECT_TRUE(session_->TakeHold(At(300)));
+}
+
+TEST_F(WorkerSessionTest, AWorkerThatIsBackIsAskedAtOnce) {
+  Poll(1);
+  Refuse(100);
+  session_->OnHeartbeat(Worker("w"), 1110, At(110));
+  EXPECT_TRUE(session_->TakeHold(At(110)));
+}
+
 TEST_F(WorkerSessionTest, RefusedConnectionsAreTakenBackByASignOfLife) {
   Poll(1);
   EXPECT_FALSE(session_->RefusesConnections());
