sassafrasctl: names that are not UTF-8 end no command

Cause: the body of `cluster add` and of a submitted job was written by dump(), which throws for other bytes, and the exception ended the program. By wire::ToJsonText(), as everywhere else, the cluster gets valid text and answers.

CommandsTest.NamesThatAreNotUtf8AreSentAsValidText, failed before by the exception.

--- a/ctl/src/cluster_commands.cc
+++ b/ctl/src/cluster_commands.cc
@@ -8,6 +8,7 @@
 #include "api_call.h"
 #include "command.h"
 #include "table.h"
+#include "wire/codec.h"
 
 namespace sassafras::ctl {
 
@@ -133,7 +134,7 @@
   if (FindReplica(status.body, name).is_null()) {
     const nlohmann::json body = {{"name", name}};
     const ExitCode code = ChangeMembers(
-        context, "POST", std::string(kReplicasTarget), body.dump(),
+        context, "POST", std::string(kReplicasTarget), wire::ToJsonText(body),
         [&](const auto& it) { return !FindReplica(it, name).is_null(); });
     if (code != ExitCode::kOk) {
       return code;
--- a/ctl/src/job_commands.cc
+++ b/ctl/src/job_commands.cc
@@ -6,6 +6,7 @@
 #include "api_call.h"
 #include "command.h"
 #include "table.h"
+#include "wire/codec.h"
 
 namespace sassafras::ctl {
 
@@ -77,7 +78,8 @@
   }
   (*spec)["id"] = context.Text("JOB");
   // The id makes a resend safe: the same spec gets the first answer again.
-  const auto result = Call(context, "POST", "/v1/jobs", spec->dump());
+  const auto result =
+      Call(context, "POST", "/v1/jobs", wire::ToJsonText(*spec));
   return Print(context, result, [&](const auto& body) {
     const bool is_known = body.value("duplicate", false);
     return "job " + context.Text("JOB") +
--- a/ctl/test/commands_test.cc
+++ b/ctl/test/commands_test.cc
@@ -202,6 +202,14 @@
   return {{"replicas", replicas}};
 }
 
+// Bytes of a name that aren't UTF-8 ended the program by an exception.
+TEST_F(CommandsTest, NamesThatAreNotUtf8AreSentAsValidText) {
+  answers_ = {Answered(200, StatusWith({"old"})), Unanswered(false)};
+  EXPECT_NE(Run({"cluster", "add", "h\xe4"}), ExitCode::kOk);
+  ASSERT_EQ(sent_.size(), 2u);
+  EXPECT_EQ(json::parse(sent_[1].body)["name"], "h\ufffd");
+}
+
 TEST_F(CommandsTest, LostAnswerToClusterAddIsJudgedByTheMembers) {
   answers_ = {Answered(200, StatusWith({"old"})), Unanswered(true),
               Answered(200, StatusWith({"old", "new"}))};
