Control: a report of the members shows what is committed

With the next host replaced as OPERATIONS.md says, the control state could be left without a quorum for good.

Cause: the report listed the membership in effect, which is the latest one appended.

Change: the report lists the committed membership (Replica::CommittedMembership).

--- a/libs/consensus/include/consensus/replica.h
+++ b/libs/consensus/include/consensus/replica.h
@@ -213,7 +213,12 @@
   Role GetRole() const;
   Term GetTerm() const;
   const Member& Leader() const;  // id is empty if the leader is unknown
+  // Returns the latest membership in the log. It is in effect, but may be
+  // undone until it is committed.
   const Membership& GetMembership() const;
+  // Returns the latest membership that is known to be committed: no failure
+  // undoes it.
+  const Membership& CommittedMembership() const;
   Index CommitIndex() const;
   Index LastIndex() const;
   Index SnapshotIndex() const;
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -40,6 +40,9 @@
   Term GetTerm() const { return hard_state_.term; }
   const Member& Leader() const { return leader_; }
   const Membership& GetMembership() const { return memberships_.Latest(); }
+  const Membership& CommittedMembership() const {
+    return memberships_.At(commit_index_);
+  }
   Index CommitIndex() const { return commit_index_; }
   Index LastIndex() const { return log_.Last(); }
   Index SnapshotIndex() const;
--- a/libs/consensus/src/replica.cc
+++ b/libs/consensus/src/replica.cc
@@ -87,6 +87,10 @@
   return core_->GetMembership();
 }
 
+const Membership& Replica::CommittedMembership() const {
+  return core_->CommittedMembership();
+}
+
 Index Replica::CommitIndex() const {
   return core_->CommitIndex();
 }
--- a/libs/consensus/test/rules_test.cc
+++ b/libs/consensus/test/rules_test.cc
@@ -397,6 +397,25 @@
   EXPECT_TRUE(replica_->GetMembership().IsVoter(kD.id));
 }
 
+// Guards against a promotion that counts as made while it can still be undone.
+TEST_F(RulesTest, APromotionIsCommittedOnlyOnceAQuorumHasIt) {
+  StartReplica();
+  BecomeLeaderAndCommit();
+  Step(AddLearner{Token(1), kD});
+  Sync();
+  Deliver(Ack(kB, replica_->LastIndex().value()));
+  EXPECT_TRUE(replica_->CommittedMembership().IsLearner(kD.id));
+  Deliver(Ack(kD, replica_->LastIndex().value()));
+  Sync();
+  EXPECT_TRUE(replica_->GetMembership().IsVoter(kD.id));
+  EXPECT_TRUE(replica_->CommittedMembership().IsLearner(kD.id));
+  // Three of the four voters are a quorum now.
+  Deliver(Ack(kB, replica_->LastIndex().value()));
+  EXPECT_TRUE(replica_->CommittedMembership().IsLearner(kD.id));
+  Deliver(Ack(kD, replica_->LastIndex().value()));
+  EXPECT_TRUE(replica_->CommittedMembership().IsVoter(kD.id));
+}
+
 TEST_F(RulesTest, TruncatedMembershipChangeIsUndone) {
   StartReplica();
   Deliver(AppendFrom(kB, 1, 1, 1, {MembershipRecord(1, 2, {{kA, kB}, {}})}));
--- a/libs/control/include/control/replica_service.h
+++ b/libs/control/include/control/replica_service.h
@@ -27,6 +27,7 @@
 // Outcome of a proposal.
 struct ProposeResult {
   consensus::Outcome outcome = consensus::Outcome::kUnknown;
+  consensus::ConsensusError error = consensus::ConsensusError::kNone;
   std::string message;         // set unless the outcome is kCommitted
   wire::CommandResult result;  // of a committed command
 };
--- a/libs/control/src/leader_service.cc
+++ b/libs/control/src/leader_service.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "cluster_reply.h"
 #include "leader_term.h"
 #include "telemetry/decision.h"
 #include "telemetry/log.h"
@@ -20,16 +21,12 @@
 constexpr auto kTickPeriod = std::chrono::milliseconds(50);
 constexpr auto kIdentityTimeout = std::chrono::seconds(1);
 
-wire::ControlReply ClusterReply(const ProposeResult& result) {
-  if (result.outcome == consensus::Outcome::kCommitted) {
-    return OkReply(nlohmann::json::object());
-  }
-  wire::ControlReply reply;
-  reply.status = result.outcome == consensus::Outcome::kUnknown
-                     ? wire::ReplyStatus::kUnknown
-                     : wire::ReplyStatus::kRefused;
-  reply.message = result.message;
-  return reply;
+// Returns the member with the id or, without one, the name in `body`.
+const consensus::Member* FindMember(const consensus::Membership& members,
+                                    const nlohmann::json& body) {
+  return body.contains("id")
+             ? members.Find(consensus::ReplicaId(body.value("id", "")))
+             : members.FindByName(wire::EntryId(body.value("name", "")));
 }
 
 }  // namespace
@@ -167,24 +164,26 @@
           }
           self->replica_.AddLearner(*member,
                                     [done](const ProposeResult& result) {
-                                      done(ClusterReply(result));
+                                      done(ToClusterReply(result));
                                     });
         });
   }
 
   void RemoveReplica(const nlohmann::json& body, const ReplyDone& done) {
-    const auto& membership = replica_.replica().GetMembership();
-    const consensus::Member* member =
-        body.contains("id")
-            ? membership.Find(consensus::ReplicaId(body.value("id", "")))
-            : membership.FindByName(wire::EntryId(body.value("name", "")));
+    // A member whose removal isn't committed yet is still one: the removal may
+    // be undone.
+    const consensus::Replica& replica = replica_.replica();
+    const consensus::Member* member = FindMember(replica.GetMembership(), body);
+    if (!member) {
+      member = FindMember(replica.CommittedMembership(), body);
+    }
     if (!member) {
       done(RefusedReply(
           "the cluster has no control replica with this name or id"));
       return;
     }
     replica_.Remove(member->id, [done](const ProposeResult& result) {
-      done(ClusterReply(result));
+      done(ToClusterReply(result));
     });
   }
 
--- a/libs/control/src/replica_service.cc
+++ b/libs/control/src/replica_service.cc
@@ -64,6 +64,7 @@
     return [this, done = std::move(done)](const consensus::Resolved& it) {
       ProposeResult result;
       result.outcome = it.outcome;
+      result.error = it.why.code;
       result.message = it.why.message;
       const auto applied = results_.find(it.index);
       if (applied != results_.end()) {
--- a/libs/control/src/reports.cc
+++ b/libs/control/src/reports.cc
@@ -250,19 +250,6 @@
     return json();
   }
   const consensus::Replica& replica = term.consensus_replica();
-  json replicas = json::array();
-  const auto add = [&](const consensus::Member& member, const char* role) {
-    const auto match = replica.MatchOf(member.id);
-    replicas.push_back({{"name", member.name},
-                        {"id", member.id},
-                        {"role", role},
-                        {"is_leader", member.id == replica.Self().id},
-                        {"match", match ? match->value() : 0}});
-  };
-  std::ranges::for_each(replica.GetMembership().voters,
-                        [&](auto& it) { add(it, "voter"); });
-  std::ranges::for_each(replica.GetMembership().learners,
-                        [&](auto& it) { add(it, "learner"); });
   json entries = json::array();
   for (const auto& view : term.ledger().Entries()) {
     entries.push_back({{"name", view.entry},
@@ -274,7 +261,7 @@
           {"term", replica.GetTerm()},
           {"commit", replica.CommitIndex()},
           {"document_version", term.machine().document().version()},
-          {"replicas", std::move(replicas)},
+          {"replicas", ReportReplicas(replica)},
           {"entries", std::move(entries)}};
 }
 
@@ -291,6 +278,26 @@
 
 }  // namespace
 
+// Operators take the next host out of service once a replica is a voter. A
+// promotion that isn't committed could be undone by that loss, and the quorum
+// would be lost with it.
+json ReportReplicas(const consensus::Replica& replica) {
+  json replicas = json::array();
+  const auto add = [&](const consensus::Member& member, const char* role) {
+    const auto match = replica.MatchOf(member.id);
+    replicas.push_back({{"name", member.name},
+                        {"id", member.id},
+                        {"role", role},
+                        {"is_leader", member.id == replica.Self().id},
+                        {"match", match ? match->value() : 0}});
+  };
+  const consensus::Membership& members = replica.CommittedMembership();
+  std::ranges::for_each(members.voters, [&](auto& it) { add(it, "voter"); });
+  std::ranges::for_each(members.learners,
+                        [&](auto& it) { add(it, "learner"); });
+  return replicas;
+}
+
 wire::ControlReply AnswerQuery(const LeaderTerm& term, const json& body) {
   const auto handler = QueryHandlers().find(body.value("kind", ""));
   if (handler == QueryHandlers().end()) {
--- a/libs/control/src/reports.h
+++ b/libs/control/src/reports.h
@@ -5,12 +5,18 @@
 
 #include <nlohmann/json.hpp>
 
+#include "consensus/replica.h"
 #include "wire/control.h"
 
 namespace sassafras::control {
 
 class LeaderTerm;
 
+// Returns {name, id, role, is_leader, match} of each member of the committed
+// membership, for the report "cluster". `replica` must lead: elsewhere every
+// `match` is 0.
+nlohmann::json ReportReplicas(const consensus::Replica& replica);
+
 // Answers a query. `body` is {kind, name, owner, is_platform}: the kind of
 // query, the name of the object, and the owner and role of the reader. A
 // reader that is not the platform sees only objects of its own owner; others
