--- a/tests/control_failure_test.cc
+++ b/tests/control_failure_test.cc
@@ -130,9 +130,8 @@
   cluster_->process(lost).Kill();
   cluster_->RemoveData(lost);
   cluster_->Start(lost);
-  ASSERT_TRUE(DoSurely("DELETE", "/v1/cluster/replicas/" + lost, ""));
-  ASSERT_TRUE(DoSurely("POST", "/v1/cluster/replicas",
-                       nlohmann::json{{"name", lost}}.dump()));
+  ASSERT_TRUE(RemoveMemberSurely(lost));
+  ASSERT_TRUE(AddMemberSurely(lost));
   ASSERT_TRUE(cluster_->AwaitVoters(3));
   const std::string second = lost == "r1" ? "r2" : "r1";
   cluster_->process(second).Kill();
--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -228,6 +228,15 @@
   });
 }
 
+std::optional<bool> Cluster::IsMember(const std::string& name) const {
+  const auto report = AsPlatformAnywhere("GET", "/v1/report/cluster").json();
+  if (!report.is_object() || !report.contains("replicas")) {
+    return std::nullopt;
+  }
+  return std::ranges::any_of(report["replicas"],
+                             [&](auto& it) { return it["name"] == name; });
+}
+
 bool Cluster::PutStandardDocument() const {
   return AsPlatformAnywhere("PUT",
                             "/v1/document/sections/platform?base=0&change=p1",
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
   // Waits until some process other than `old` leads; empty where none does.
   std::string AwaitNewLeader(const std::string& old) const;
   bool AwaitVoters(size_t count) const;
+  // Returns whether the control replicas list `name`, or std::nullopt if none
+  // of them answers.
+  std::optional<bool> IsMember(const std::string& name) const;
 
   // What `from` sends to `to` is swallowed silently from now on, on
   // connections that either of them made. Replaces a cut of the other
--- a/tests/harness/document_fixture.h
+++ b/tests/harness/document_fixture.h
@@ -34,14 +34,27 @@
     return section.is_object() ? section.value("version", uint64_t{0}) : 0;
   }
 
-  // Asks any process with the cluster's secret until it is done.
-  bool DoSurely(const std::string& method,
-                const std::string& target,
-                const std::string& body) const {
+  // Makes `name` a member of the cluster, or ends its membership. Where the
+  // answer to a request is lost, the members tell whether the change was made:
+  // a second request is refused then.
+  bool AddMemberSurely(const std::string& name) const {
+    const std::string body = nlohmann::json{{"name", name}}.dump();
     return Await([&] {
-      return cluster_->AsPlatformAnywhere(method, target, body).status == 200;
+      return cluster_->AsPlatformAnywhere("POST", kReplicasTarget, body)
+                     .status == 200 ||
+             cluster_->IsMember(name) == true;
     });
   }
+  bool RemoveMemberSurely(const std::string& name) const {
+    const std::string target = std::string(kReplicasTarget) + "/" + name;
+    return Await([&] {
+      return cluster_->AsPlatformAnywhere("DELETE", target).status == 200 ||
+             cluster_->IsMember(name) == false;
+    });
+  }
+
+ private:
+  static constexpr const char* kReplicasTarget = "/v1/cluster/replicas";
 };
 
 }  // namespace sassafras::tests
--- a/tests/pair_failure_test.cc
+++ b/tests/pair_failure_test.cc
@@ -32,9 +32,8 @@
   EXPECT_NE(Put("e1", 1, "forked").status, 200);
   cluster_->Start(leader);
   ASSERT_TRUE(Await([&] { return VersionAt("e1") == 2; }));
-  ASSERT_TRUE(DoSurely("DELETE", "/v1/cluster/replicas/" + lost, ""));
-  ASSERT_TRUE(DoSurely("POST", "/v1/cluster/replicas",
-                       nlohmann::json{{"name", lost}}.dump()));
+  ASSERT_TRUE(RemoveMemberSurely(lost));
+  ASSERT_TRUE(AddMemberSurely(lost));
   ASSERT_TRUE(cluster_->AwaitVoters(3));
   cluster_->process(leader).Kill();
   EXPECT_TRUE(PutSurely("e2", 2, "after"));
