Consensus: slow disks delay a leader instead of preventing one

Cause: a candidate began a campaign in a later term 250 to 500 ms after the last one. Requests for votes and votes wait for a sync; where it takes as long, they were dropped unsent or made worthless by the next campaign. A voter did the same by its own campaign.

Change: no campaign while this replica's last vote isn't durable; the wait for votes counts from there and doubles with each campaign, up to 8 times, until a leader is heard.

Tests: ReplicaTest.ALeaderIsElectedOnDisksSlowerThanTheElectionTimeout and three of RulesTest, all failing before. LoneVoterWaitsForTheSyncOfItsVote began its campaign while a vote was unsynced, which can't happen any more; it uses an unsynced record, and asks for the same.

--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -70,7 +70,8 @@
 
 void Replica::Core::CheckDeadlines() {
   if (!IsLeader()) {
-    if (now_ >= election_deadline_ && role_ != Role::kLearner) {
+    if (now_ >= election_deadline_ && role_ != Role::kLearner &&
+        !IsVoteUnsynced()) {
       StartPreVote();
     }
     return;
@@ -139,7 +140,7 @@
 }
 
 base::Instant Replica::Core::NextDeadline() const {
-  if (role_ == Role::kLearner) {
+  if (role_ == Role::kLearner || IsVoteUnsynced()) {
     return base::Instant::max();
   }
   if (!IsLeader()) {
@@ -324,9 +325,12 @@
 }
 
 void Replica::Core::On(const Synced& event) {
+  const bool was_vote_unsynced = IsVoteUnsynced();
   synced_sequence_ = std::max(synced_sequence_, event.sequence);
   AdvanceDurableIndex(synced_sequence_);
-  CountOwnVote();
+  if (was_vote_unsynced && !IsVoteUnsynced()) {
+    OnVoteSynced();
+  }
 }
 
 }  // namespace sassafras::consensus
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -106,7 +106,9 @@
   void OnTimeoutNow(const Message& message);
   void StartPreVote();
   void Campaign(bool is_transfer);
-  void CountOwnVote();
+  void ResetVoteDeadline();
+  bool IsVoteUnsynced() const;
+  void OnVoteSynced();
   void TallyVotes();
   void BecomeFollower(Term term, const Member& leader);
   void BecomeLeader();
@@ -216,8 +218,9 @@
   std::optional<base::Instant> leader_contact_at_;
   bool is_pre_vote_ = false;
   std::set<ReplicaId> votes_;  // voters that granted the vote or pre-vote
-  Sequence
-      vote_sequence_;  // this replica's vote counts once this request is synced
+  Sequence vote_sequence_;  // the persist request of this replica's last vote
+  // The next campaign waits for votes this many election timeouts at most.
+  int64_t vote_wait_factor_ = 1;
   // A snapshot being received; `data` is the prefix received so far.
   struct IncomingSnapshot {
     SnapshotMeta meta;
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -9,6 +9,14 @@
 
 namespace sassafras::consensus {
 
+namespace {
+
+// Longest wait for votes, as a multiple of the first one: an answer takes a
+// sync of the voter's disk.
+constexpr int64_t kMaxVoteWaitFactor = 8;
+
+}  // namespace
+
 void Replica::Core::ResetElectionDeadline(base::Duration from,
                                           base::Duration to) {
   const auto spread = static_cast<uint64_t>((to - from).count());
@@ -34,6 +42,7 @@
     BecomeFollower(hard_state_.term, leader);
   }
   leader_contact_at_ = now_;
+  vote_wait_factor_ = 1;
   ResetElectionDeadline(options_.election_timeout,
                         2 * options_.election_timeout);
 }
@@ -84,6 +93,35 @@
   }
 }
 
+// A campaign whose votes don't arrive in time is given up for one of a later
+// term, which makes them worthless. With disks slower than that, no campaign
+// would ever end: each one waits twice as long as the one before.
+void Replica::Core::ResetVoteDeadline() {
+  const auto wait = vote_wait_factor_ * options_.election_timeout;
+  ResetElectionDeadline(wait / 2, wait);
+}
+
+// A vote counts, and is told to the candidate, once it is durable. A campaign
+// before that would make it worthless, and this replica's own requests would be
+// dropped unsent.
+bool Replica::Core::IsVoteUnsynced() const {
+  return vote_sequence_ > synced_sequence_;
+}
+
+// The wait for the outcome begins here, however long the sync took.
+void Replica::Core::OnVoteSynced() {
+  if (role_ == Role::kFollower && leader_.id.empty()) {
+    ResetElectionDeadline(options_.election_timeout,
+                          2 * options_.election_timeout);
+  }
+  if (role_ == Role::kCandidate && !is_pre_vote_) {
+    votes_.insert(self_.id);
+    ResetVoteDeadline();
+    vote_wait_factor_ = std::min(2 * vote_wait_factor_, kMaxVoteWaitFactor);
+    TallyVotes();
+  }
+}
+
 void Replica::Core::Campaign(bool is_transfer) {
   SetHardState({hard_state_.term.Next(), self_.id});
   role_ = Role::kCandidate;
@@ -91,8 +129,6 @@
   leader_ = Member();
   votes_.clear();
   vote_sequence_ = StepSequence();
-  ResetElectionDeadline(options_.election_timeout / 2,
-                        options_.election_timeout);
   for (const Member& voter : memberships_.Latest().voters) {
     if (voter.id == self_.id) {
       continue;
@@ -119,6 +155,7 @@
       message.term == hard_state_.term && can_vote && IsUpToDate(message);
   if (reply.is_granted) {
     SetHardState({hard_state_.term, message.from.id});
+    vote_sequence_ = StepSequence();
     ResetElectionDeadline(options_.election_timeout,
                           2 * options_.election_timeout);
   }
@@ -138,14 +175,6 @@
   }
 }
 
-void Replica::Core::CountOwnVote() {
-  const bool is_counted = role_ == Role::kCandidate && !is_pre_vote_ &&
-                          vote_sequence_ <= synced_sequence_;
-  if (is_counted && votes_.insert(self_.id).second) {
-    TallyVotes();
-  }
-}
-
 void Replica::Core::TallyVotes() {
   const Membership& membership = memberships_.Latest();
   const auto granted = std::ranges::count_if(
@@ -179,6 +208,7 @@
 
 void Replica::Core::BecomeLeader() {
   role_ = Role::kLeader;
+  vote_wait_factor_ = 1;
   leader_ = self_;
   incoming_snapshot_.reset();
   peers_.clear();
--- a/libs/consensus/test/cluster.cc
+++ b/libs/consensus/test/cluster.cc
@@ -103,6 +103,7 @@
     ApplyToDisk(host.unsynced[n], host.disk);
   }
   host.unsynced.clear();
+  host.syncing = 0;
 }
 
 void Cluster::LoseDisk(size_t i) {
@@ -179,20 +180,33 @@
   }
 }
 
+// Group commit: a sync writes all requests issued so far.
+void Cluster::BeginSync(Host& host) {
+  const uint64_t spread = faults.max_sync_steps - faults.min_sync_steps;
+  host.syncing = host.unsynced.size();
+  host.sync_at = now_ + 1 + faults.min_sync_steps + random.Below(spread + 1);
+}
+
 void Cluster::SyncAll() {
   for (size_t i = 0; i < hosts_.size(); ++i) {
     Host& host = hosts_[i];
-    const bool is_due = host.replica && !host.unsynced.empty() &&
+    const bool is_due = host.replica && host.syncing > 0 &&
                         host.sync_at <= now_ && host.frozen_until <= now_;
     if (!is_due) {
       continue;
     }
-    // Group commit: syncs all requests issued so far.
-    const Sequence last = host.unsynced.back().sequence;
-    for (const auto& request : host.unsynced) {
-      ApplyToDisk(request, host.disk);
+    if (!faults.is_late_request_delayed) {
+      host.syncing = host.unsynced.size();
+    }
+    Sequence last;
+    for (; host.syncing > 0; --host.syncing) {
+      ApplyToDisk(host.unsynced.front(), host.disk);
+      last = host.unsynced.front().sequence;
+      host.unsynced.pop_front();
+    }
+    if (!host.unsynced.empty()) {
+      BeginSync(host);
     }
-    host.unsynced.clear();
     Step(i, Synced{last});
   }
 }
@@ -206,10 +220,10 @@
 void Cluster::HandleEffects(size_t i, const Effects& effects) {
   Host& host = hosts_[i];
   if (effects.persist) {
-    if (host.unsynced.empty()) {
-      host.sync_at = now_ + 1 + random.Below(faults.max_sync_steps + 1);
-    }
     host.unsynced.push_back(*effects.persist);
+    if (host.syncing == 0) {
+      BeginSync(host);
+    }
   }
   for (const auto& message : effects.messages) {
     SendMessage(i, message);
--- a/libs/consensus/test/cluster.h
+++ b/libs/consensus/test/cluster.h
@@ -27,6 +27,10 @@
   uint64_t duplicate_percent = 0;
   uint64_t max_delay_steps = 2;  // of a message
   uint64_t max_sync_steps = 3;   // of a persist request
+  uint64_t min_sync_steps = 0;   // at most max_sync_steps
+  // Whether a request that is issued during a sync waits for the next one, as
+  // on a real disk, instead of joining it.
+  bool is_late_request_delayed = false;
 };
 
 // A data folder and, while the host is up, the replica that owns it.
@@ -34,8 +38,9 @@
   Recovered disk;  // the synced state, which survives a crash
   std::optional<Replica> replica;
   std::deque<PersistRequest> unsynced;
-  uint64_t sync_at = 0;       // step at which the unsynced requests are synced
-  uint64_t frozen_until = 0;  // processes no events before this step
+  size_t syncing = 0;    // the first unsynced requests, which a sync writes
+  uint64_t sync_at = 0;  // step at which that sync ends
+  uint64_t frozen_until = 0;         // processes no events before this step
   std::vector<std::string> applied;  // the state machine: all applied commands
 };
 
@@ -103,6 +108,7 @@
   void Deliver();
   void SendMessage(size_t from, const Message& message);
   void SyncOldest(Host& host);
+  void BeginSync(Host& host);
   void SyncAll();
   void HandleEffects(size_t i, const Effects& effects);
   void Apply(Host& host, const Record& record);
--- a/libs/consensus/test/replica_test.cc
+++ b/libs/consensus/test/replica_test.cc
@@ -19,8 +19,8 @@
 
 class ReplicaTest : public testing::Test {
  protected:
-  void StartCluster(size_t n) {
-    cluster_.emplace(n, kSeed);
+  void StartCluster(size_t n, uint64_t seed = kSeed) {
+    cluster_.emplace(n, seed);
     cluster_->Step(0, consensus::Bootstrap{Token(1'000'000)});
     ASSERT_TRUE(Converge());
   }
@@ -185,6 +185,24 @@
   EXPECT_GE(cluster_->acknowledged_.size(), 65U);
 }
 
+// Guards against campaigns that are given up before the votes for them can be
+// durable: on slow disks no leader was ever elected.
+TEST_F(ReplicaTest, ALeaderIsElectedOnDisksSlowerThanTheElectionTimeout) {
+  constexpr uint64_t kSeeds = 20;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    StartCluster(3, seed);
+    const size_t first = Leader();
+    cluster_->faults.min_sync_steps = kElectionSteps;
+    cluster_->faults.max_sync_steps = 3 * kElectionSteps;
+    cluster_->faults.is_late_request_delayed = true;
+    cluster_->Crash(first);
+    ASSERT_TRUE(WaitForLeader()) << "seed " << seed;
+    Commit(1);
+    EXPECT_NE(Leader(), first);
+    ASSERT_EQ(cluster_->Violation(), "") << "seed " << seed;
+  }
+}
+
 TEST_F(ReplicaTest, LearnerCountsOnlyOnceItHasCaughtUp) {
   StartCluster(3);
   Commit(60);
--- a/libs/consensus/test/rules_test.cc
+++ b/libs/consensus/test/rules_test.cc
@@ -29,6 +29,9 @@
           "command " + std::to_string(index)};
 }
 
+// Longer than any wait of an election.
+constexpr auto kLongTime = std::chrono::minutes(1);
+
 class RulesTest : public testing::Test {
  protected:
   // Starts replica a. Record 1 is the membership, `records` follow; the current
@@ -107,16 +110,24 @@
     return append;
   }
 
-  // Makes "a" the leader of the next term with the votes of b.
-  void BecomeLeader() {
+  // Makes "a" a candidate in the next term whose own vote isn't durable yet.
+  void BecomeUnsyncedCandidate() {
     now_ = replica_->NextDeadline();
     Step(Tick{});
     const uint64_t term = replica_->GetTerm().value() + 1;
     Message reply = MakeMessage(kB, MessageKind::kPreVoteReply, term);
     reply.is_granted = true;
     Deliver(reply);
+    ASSERT_EQ(replica_->GetTerm(), Term(term));
+  }
+
+  // Makes "a" the leader of the next term with the votes of b.
+  void BecomeLeader() {
+    BecomeUnsyncedCandidate();
     Sync();
-    reply.kind = MessageKind::kVoteReply;
+    Message reply =
+        MakeMessage(kB, MessageKind::kVoteReply, replica_->GetTerm().value());
+    reply.is_granted = true;
     Deliver(reply);
     ASSERT_EQ(replica_->GetRole(), Role::kLeader);
   }
@@ -215,7 +226,7 @@
   disk.records = {MembershipRecord(1, 1, {{kA}, {}})};
   ConsensusReason why;
   replica_ = Replica::Create(options, disk, 1, now_, why);
-  Deliver(VoteRequestFrom(kB, 5, 1, 1));
+  Deliver(AppendFrom(kB, 5, 1, 1, {Command(5, 2)}));
   const Sequence before = sequence_;
   now_ = replica_->NextDeadline();
   Step(Tick{});
@@ -226,6 +237,51 @@
   EXPECT_EQ(replica_->GetRole(), Role::kLeader);
 }
 
+// Guards against a candidate on a slow disk that begins a new campaign before
+// it has asked for the votes of the last one.
+TEST_F(RulesTest, ACandidateCampaignsAgainOnlyOnceItsVoteIsSynced) {
+  StartReplica();
+  BecomeUnsyncedCandidate();
+  const Term term = replica_->GetTerm();
+  now_ += kLongTime;
+  EXPECT_FALSE(HasMessage(Step(Tick{}), MessageKind::kPreVote, false));
+  EXPECT_GT(replica_->NextDeadline(), now_);
+  EXPECT_TRUE(HasMessage(Sync(), MessageKind::kVote, false));
+  EXPECT_EQ(replica_->GetTerm(), term);
+  EXPECT_GE(replica_->NextDeadline(), now_ + Options().election_timeout / 2);
+}
+
+// Guards against a voter on a slow disk whose own campaign makes its vote for
+// another one worthless.
+TEST_F(RulesTest, AVoterCampaignsOnlyOnceItsVoteIsSynced) {
+  StartReplica();
+  Deliver(VoteRequestFrom(kB, 5, 1, 1));
+  now_ += kLongTime;
+  EXPECT_FALSE(HasMessage(Step(Tick{}), MessageKind::kPreVote, false));
+  EXPECT_TRUE(HasMessage(Sync(), MessageKind::kVoteReply, true));
+  EXPECT_GE(replica_->NextDeadline(), now_ + Options().election_timeout);
+}
+
+// Guards against campaigns that all end before the disks of the voters have
+// written the votes.
+TEST_F(RulesTest, EachCampaignWaitsLongerForItsVotesUntilALeaderIsHeard) {
+  StartReplica();
+  const auto wait_for_votes = [this] {
+    BecomeUnsyncedCandidate();
+    Sync();
+    return replica_->NextDeadline() - now_;
+  };
+  const base::Duration first = Options().election_timeout / 2;
+  for (const int factor : {1, 2, 4, 8, 8}) {
+    const base::Duration wait = wait_for_votes();
+    EXPECT_GE(wait, factor * first);
+    EXPECT_LE(wait, 2 * factor * first);
+  }
+  Deliver(MakeMessage(kB, MessageKind::kHeartbeat,
+                      replica_->GetTerm().value() + 1));
+  EXPECT_LE(wait_for_votes(), 2 * first);
+}
+
 // A record of an older term is not committed by a majority of copies, as
 // another leader may still replace it.
 TEST_F(RulesTest, RecordOfAnOldTermIsNotCommittedByCounting) {
