--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -70,8 +70,7 @@
 
 void Replica::Core::CheckDeadlines() {
   if (!IsLeader()) {
-    if (now_ >= election_deadline_ && role_ != Role::kLearner &&
-        !IsVoteUnsynced()) {
+    if (CanCampaign() && now_ >= election_deadline_) {
       StartPreVote();
     }
     return;
@@ -140,11 +139,8 @@
 }
 
 base::Instant Replica::Core::NextDeadline() const {
-  if (role_ == Role::kLearner || IsVoteUnsynced()) {
-    return base::Instant::max();
-  }
   if (!IsLeader()) {
-    return election_deadline_;
+    return CanCampaign() ? election_deadline_ : base::Instant::max();
   }
   base::Instant next = heartbeat_at_;
   for (const Peer& peer : peers_ | std::views::values) {
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -108,6 +108,7 @@
   void Campaign(bool is_transfer);
   void ResetVoteDeadline();
   bool IsVoteUnsynced() const;
+  bool CanCampaign() const;
   void OnVoteSynced();
   void TallyVotes();
   void BecomeFollower(Term term, const Member& leader);
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -101,13 +101,17 @@
   ResetElectionDeadline(wait / 2, wait);
 }
 
-// A vote counts, and is told to the candidate, once it is durable. A campaign
-// before that would make it worthless, and this replica's own requests would be
-// dropped unsent.
+// A vote counts, and is told to the candidate, once it is durable.
 bool Replica::Core::IsVoteUnsynced() const {
   return vote_sequence_ > synced_sequence_;
 }
 
+// A campaign while the last vote is being written would make that vote
+// worthless, and drop this replica's own requests for votes unsent.
+bool Replica::Core::CanCampaign() const {
+  return role_ != Role::kLearner && !IsVoteUnsynced();
+}
+
 // The wait for the outcome begins here, however long the sync took.
 void Replica::Core::OnVoteSynced() {
   if (role_ == Role::kFollower && leader_.id.empty()) {
