--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -20,6 +20,9 @@
 
 using std::chrono::milliseconds;
 
+// On the clock of the fixture, a minute after its start: all leases have ended.
+inline constexpr int64_t kGiveUpMs = 1'060'000;
+
 // Commits batches only when Commit() is called, and stores all calls to
 // workers.
 class FakeLeaderContext : public LeaderContext, public WorkerLink {
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -9,9 +9,6 @@
 namespace sassafras::jobcontrol {
 namespace {
 
-// On the clock of the fixture, a minute after its start: all leases have ended.
-constexpr int64_t kGiveUpMs = 1'060'000;
-
 TEST_F(LeaderTest, ASubmissionIsAcceptedOnlyAfterItIsRecorded) {
   Submit("j");
   EXPECT_EQ(submitted_, RecordResult::kNotRecorded);
@@ -116,102 +113,6 @@
   EXPECT_LE(context_.holds[0].call.lease_until_ms, led_until + 4000);
 }
 
-// A worker said that it leaves and ran on for a while. Its tasks were started
-// elsewhere before it had got the reply.
-class LeavingWorkerTest : public LeaderTest {
- protected:
-  // The worker "w" runs the task of the job "j" and leaves; "v" has room.
-  void Leave() {
-    ASSERT_NO_FATAL_FAILURE(RunTask());
-    AddWorker("v");
-    context_.AnswerHolds(Running());
-    context_.orders.clear();
-    context_.leader->OnLeave(Worker("w").boot,
-                             [this](RecordResult it) { left_ = it; });
-  }
-
-  static jobs::HoldReply Running() {
-    jobs::RunReport run;
-    run.task.step.job = wire::JobId("j");
-    run.run = 1;
-    jobs::HoldReply reply;
-    reply.running.push_back(std::move(run));
-    return reply;
-  }
-
-  // Answers the holds of both workers, or those of "v" alone.
-  void AnswerHolds(const std::optional<jobs::HoldReply>& of_leaving) {
-    for (auto& hold : std::exchange(context_.holds, {})) {
-      const bool is_leaving = hold.worker.boot.id == wire::WorkerId("w");
-      jobs::HoldReply reply = is_leaving
-                                  ? of_leaving.value_or(jobs::HoldReply())
-                                  : jobs::HoldReply();
-      reply.is_answered = !is_leaving || of_leaving.has_value();
-      reply.is_refused = !reply.is_answered;
-      reply.clock_ms = context_.ClockMs();
-      hold.done(reply);
-    }
-  }
-
-  // Returns the number of starts on "v".
-  size_t Restarts() const {
-    return static_cast<size_t>(
-        std::ranges::count_if(context_.orders, [](auto& it) {
-          return it.worker.boot.id == wire::WorkerId("v") &&
-                 std::holds_alternative<jobs::StartOrder>(it.call.order);
-        }));
-  }
-
-  std::optional<RecordResult> left_;
-};
-
-TEST_F(LeavingWorkerTest, ItsTaskRunsElsewhereOnlyAfterItsLeaseHasEnded) {
-  ASSERT_NO_FATAL_FAILURE(Leave());
-  EXPECT_EQ(left_, RecordResult::kRecorded) << "the worker waits for that";
-  context_.Commit();
-  EXPECT_EQ(Restarts(), 0U);
-  const int64_t left_at = context_.ClockMs();
-  while (Restarts() == 0 && context_.ClockMs() < kGiveUpMs) {
-    AnswerHolds(std::nullopt);
-    context_.Advance(milliseconds(100));
-    context_.Commit();
-  }
-  EXPECT_EQ(Restarts(), 1U);
-  EXPECT_GT(context_.ClockMs() - left_at, 4000);
-}
-
-TEST_F(LeavingWorkerTest,
-       ItsTaskIsStoppedAndGoesOnElsewhereOnceThatIsReported) {
-  ASSERT_NO_FATAL_FAILURE(Leave());
-  ASSERT_EQ(context_.orders.size(), 1U);
-  const auto* stop =
-      std::get_if<jobs::StopOrder>(&context_.orders[0].call.order);
-  ASSERT_NE(stop, nullptr);
-  EXPECT_EQ(context_.orders[0].worker.boot.id, wire::WorkerId("w"));
-  jobs::HoldReply report;
-  report.ended = {{1, stop->task, 1, jobs::RunOutcome::kStopped, "saved"}};
-  AnswerHolds(report);
-  context_.Commit();
-  EXPECT_EQ(Restarts(), 1U);
-}
-
-TEST_F(LeavingWorkerTest, ItGetsNoWorkAndNoLongerLease) {
-  ASSERT_NO_FATAL_FAILURE(Leave());
-  Submit("k", 30);
-  context_.Commit();
-  AnswerHolds(Running());
-  context_.Commit();
-  EXPECT_TRUE(std::ranges::none_of(context_.orders, [](auto& it) {
-    return it.worker.boot.id == wire::WorkerId("w") &&
-           std::holds_alternative<jobs::StartOrder>(it.call.order);
-  }));
-  const auto hold =
-      std::ranges::find(context_.holds, wire::WorkerId("w"),
-                        [](auto& it) { return it.worker.boot.id; });
-  ASSERT_NE(hold, context_.holds.end());
-  EXPECT_EQ(hold->call.lease_until_ms, 0);
-}
-
 // A disconnected worker may return as the same boot, take work again and be
 // lost later. The leader must not skip it as already removed.
 TEST_F(LeaderTest, AReturnedWorkerIsDeclaredLostAgain) {
--- a/libs/jobcontrol/test/removed_worker_test.cc
+++ b/libs/jobcontrol/test/removed_worker_test.cc
@@ -42,9 +42,6 @@
   }
 
   bool HasTimedOut() const { return context_.ClockMs() > kGiveUpMs; }
-
-  // On the clock of the fixture, a minute after its start.
-  static constexpr int64_t kGiveUpMs = 1'060'000;
 };
 
 // The worker was told to start the run that was being recorded as ended, which
