--- a/libs/cluster/test/replica_driver_test.cc
+++ b/libs/cluster/test/replica_driver_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <gtest/gtest.h>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
@@ -103,6 +104,9 @@
 
   const std::filesystem::path folder_;
   boost::asio::io_context context_;
+  // Runs on while the replica waits for its journal only, without a timer.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_ = boost::asio::make_work_guard(context_);
   std::unique_ptr<telemetry::Metrics> metrics_ = telemetry::Metrics::Create();
   CountingState state_;
   std::shared_ptr<ReplicaDriver> driver_;
