--- a/libs/consensus/test/rules_test.cc
+++ b/libs/consensus/test/rules_test.cc
@@ -4,21 +4,18 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
 
 #include "consensus/replica.h"
+#include "single_replica_test.h"
 #include "wire/codec.h"
 
 namespace sassafras::consensus {
 namespace {
 
-const Member kA{ReplicaId("a"), wire::EntryId("entry-a")};
-const Member kB{ReplicaId("b"), wire::EntryId("entry-b")};
-const Member kC{ReplicaId("c"), wire::EntryId("entry-c")};
-const Member kD{ReplicaId("d"), wire::EntryId("entry-d")};  // not a voter
-
 Record MembershipRecord(uint64_t term, uint64_t index, Membership membership) {
   return {Term(term), Index(index), RecordKind::kMembership,
           wire::EncodeCbor(membership)};
@@ -32,60 +29,16 @@
 // Longer than any wait of an election.
 constexpr auto kLongTime = std::chrono::minutes(1);
 
-class RulesTest : public testing::Test {
+class RulesTest : public SingleReplicaTest {
  protected:
   // Starts replica a. Record 1 is the membership, `records` follow; the current
   // term is that of the last record.
   void StartReplica(std::vector<Record> records = {}) {
     Recovered disk;
-    disk.id = kA.id;
     disk.records = {MembershipRecord(1, 1, {{kA, kB, kC}, {}})};
     disk.records.insert(disk.records.end(), records.begin(), records.end());
     disk.hard_state = {disk.records.back().term, ReplicaId()};
-    Options options;
-    options.name = kA.name;
-    ConsensusReason why;
-    replica_ = Replica::Create(options, disk, 1, now_, why);
-    ASSERT_TRUE(replica_) << why.message;
-  }
-
-  void BootstrapAlone() {
-    Options options;
-    options.name = kA.name;
-    Recovered disk;
-    disk.id = kA.id;
-    ConsensusReason why;
-    replica_ = Replica::Create(options, disk, 1, now_, why);
-    Step(Bootstrap{Token(1)});
-  }
-
-  Effects Step(const Event& event) {
-    Effects effects = replica_->Step(now_, event);
-    if (effects.persist) {
-      sequence_ = effects.persist->sequence;
-    }
-    return effects;
-  }
-  Effects Sync() { return Step(Synced{sequence_}); }
-  Effects Deliver(const Message& message) { return Step(Receive{message}); }
-
-  Message MakeMessage(const Member& from,
-                      MessageKind kind,
-                      uint64_t term) const {
-    Message message;
-    message.kind = kind;
-    message.from = from;
-    message.to = kA;
-    message.term = Term(term);
-    return message;
-  }
-
-  Message Ack(const Member& from, uint64_t index) const {
-    Message ack = MakeMessage(from, MessageKind::kAppendReply,
-                              replica_->GetTerm().value());
-    ack.is_granted = true;
-    ack.index = Index(index);
-    return ack;
+    Create(std::move(disk));
   }
 
   Message VoteRequestFrom(const Member& from,
@@ -174,10 +127,6 @@
     }
     return candidates;
   }
-
-  base::Instant now_{std::chrono::seconds(10)};
-  std::optional<Replica> replica_;
-  Sequence sequence_;
 };
 
 TEST_F(RulesTest, OwnCopyCountsOnlyOnceItIsSynced) {
@@ -219,13 +168,9 @@
 
 // A sync of requests before its own vote must not make it leader.
 TEST_F(RulesTest, LoneVoterWaitsForTheSyncOfItsVote) {
-  Options options;
-  options.name = kA.name;
   Recovered disk;
-  disk.id = kA.id;
   disk.records = {MembershipRecord(1, 1, {{kA}, {}})};
-  ConsensusReason why;
-  replica_ = Replica::Create(options, disk, 1, now_, why);
+  Create(std::move(disk));
   Deliver(AppendFrom(kB, 5, 1, 1, {Command(5, 2)}));
   const Sequence before = sequence_;
   now_ = replica_->NextDeadline();
