--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -214,13 +214,18 @@
         [this](RecordResult result) { submitted_ = result; });
   }
 
-  // Has the worker "w" run the task of the job "j".
-  void RunTask() {
+  // Orders the worker "w" to start the task of the job "j".
+  void OrderTask() {
     AddWorker("w");
     context_.AnswerHolds({});
     Submit("j");
     context_.Commit();
     ASSERT_EQ(context_.orders.size(), 1U);
+  }
+
+  // Has the worker "w" run the task of the job "j".
+  void RunTask() {
+    ASSERT_NO_FATAL_FAILURE(OrderTask());
     context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
   }
 
--- a/libs/jobcontrol/test/removed_worker_test.cc
+++ b/libs/jobcontrol/test/removed_worker_test.cc
@@ -15,11 +15,7 @@
   // until its lease had ended. Its loss is proposed and not recorded yet, and
   // the last hold is still open.
   void DeclareLost() {
-    AddWorker("w");
-    context_.AnswerHolds({});
-    Submit("j");
-    context_.Commit();
-    ASSERT_EQ(context_.orders.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(OrderTask());
     while (context_.waiting() == 0 && !HasTimedOut()) {
       LoseOrders();
       context_.Advance(milliseconds(100));
