--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -153,6 +153,10 @@
   void Dispatch(const jobs::StartRun& start);
   void StopRunsOf(const wire::JobId& job);
   void StopSurplusRun(const jobs::StartRun& run);
+  // Returns whether the run has ended at once, as its start was never sent.
+  bool StopRun(jobs::WorkerSession& session,
+               const jobs::TaskKey& task,
+               uint64_t run);
   void StopRunsOn(jobs::WorkerSession& session,
                   const jobs::WorkerRecord& record);
   // Withdraws starts that no longer fit on the worker.
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -62,11 +62,8 @@
   for (const auto& record : context_.table().workers() | std::views::values) {
     jobs::WorkerSession* session = FindSession(record.info.boot);
     for (const jobs::OpenRun& run : record.runs) {
-      if (session == nullptr || run.task.step.job != job) {
-        continue;
-      }
-      if (auto end = session->Stop(run.task, run.run)) {
-        AddEnd(*std::move(end));
+      if (session != nullptr && run.task.step.job == job) {
+        StopRun(*session, run.task, run.run);
       }
     }
     if (session != nullptr) {
@@ -85,18 +82,24 @@
       .With("run", run.run)
       .With("worker", run.worker.id)
       .Write();
-  if (auto end = session->Stop(run.task, run.run)) {
+  StopRun(*session, run.task, run.run);
+  SendPendingCalls(*session);
+}
+
+bool Leader::StopRun(jobs::WorkerSession& session,
+                     const jobs::TaskKey& task,
+                     uint64_t run) {
+  if (auto end = session.Stop(task, run)) {
     AddEnd(*std::move(end));
+    return true;
   }
-  SendPendingCalls(*session);
+  return false;
 }
 
 void Leader::StopRunsOn(jobs::WorkerSession& session,
                         const jobs::WorkerRecord& record) {
   for (const jobs::OpenRun& run : record.runs) {
-    if (auto end = session.Stop(run.task, run.run)) {
-      AddEnd(*std::move(end));
-    }
+    StopRun(session, run.task, run.run);
   }
   SendPendingCalls(session);
 }
@@ -123,9 +126,8 @@
         .With("run", run.run)
         .With("worker", worker.id)
         .Write();
-    if (auto end = session->Stop(run.task, run.run)) {
+    if (StopRun(*session, run.task, run.run)) {
       used -= run.charge;
-      AddEnd(*std::move(end));
     }
   }
   SendPendingCalls(*session);
@@ -373,9 +375,7 @@
         .With("stuck", straggler.kind == jobs::StragglerKind::kStuck)
         .Write();
     scheduler_.OnStraggler(straggler.task, session.boot(), context_.Now());
-    if (auto end = session.Stop(straggler.task, straggler.run)) {
-      AddEnd(*std::move(end));
-    }
+    StopRun(session, straggler.task, straggler.run);
   }
 }
 
