--- a/libs/consensus/src/core.cc
+++ b/libs/consensus/src/core.cc
@@ -19,8 +19,7 @@
       self_{std::move(id), options.name},
       random_(seed),
       now_(now) {
-  ResetElectionDeadline(options_.election_timeout,
-                        2 * options_.election_timeout);
+  AwaitLeader();
 }
 
 bool Replica::Core::Recover(Recovered durable, ConsensusReason& why) {
--- a/libs/consensus/src/core.h
+++ b/libs/consensus/src/core.h
@@ -122,6 +122,8 @@
   bool IsUpToDate(const Message& message) const;
   // Sets the deadline to a random time in [now_ + from, now_ + to).
   void ResetElectionDeadline(base::Duration from, base::Duration to);
+  // Leaves a leader one to two election timeouts to be heard.
+  void AwaitLeader();
   void UpdateRoleFromMembership();
 
   // --- replication.cc ---
--- a/libs/consensus/src/election.cc
+++ b/libs/consensus/src/election.cc
@@ -8,7 +8,6 @@
 #include "core.h"
 
 namespace sassafras::consensus {
-
 namespace {
 
 // Longest wait for votes, as a multiple of the first one: an answer takes a
@@ -25,6 +24,11 @@
       base::Duration(random_.Below(std::max<uint64_t>(spread, 1)));
 }
 
+void Replica::Core::AwaitLeader() {
+  ResetElectionDeadline(options_.election_timeout,
+                        2 * options_.election_timeout);
+}
+
 bool Replica::Core::IsUpToDate(const Message& message) const {
   return std::tie(message.log_term, message.index) >=
          std::make_tuple(log_.LastTerm(), log_.Last());
@@ -43,8 +47,7 @@
   }
   leader_contact_at_ = now_;
   vote_wait_factor_ = 1;
-  ResetElectionDeadline(options_.election_timeout,
-                        2 * options_.election_timeout);
+  AwaitLeader();
 }
 
 void Replica::Core::StartPreVote() {
@@ -115,8 +118,7 @@
 // The wait for the outcome begins here, however long the sync took.
 void Replica::Core::OnVoteSynced() {
   if (role_ == Role::kFollower && leader_.id.empty()) {
-    ResetElectionDeadline(options_.election_timeout,
-                          2 * options_.election_timeout);
+    AwaitLeader();
   }
   if (role_ == Role::kCandidate && !is_pre_vote_) {
     votes_.insert(self_.id);
@@ -160,8 +162,7 @@
   if (reply.is_granted) {
     SetHardState({hard_state_.term, message.from.id});
     vote_sequence_ = StepSequence();
-    ResetElectionDeadline(options_.election_timeout,
-                          2 * options_.election_timeout);
+    AwaitLeader();
   }
   SendOnceDurable(std::move(reply));
 }
@@ -202,8 +203,7 @@
     SetHardState({term, ReplicaId()});
   }
   if (role_ != Role::kFollower && role_ != Role::kLearner) {
-    ResetElectionDeadline(options_.election_timeout,
-                          2 * options_.election_timeout);
+    AwaitLeader();
   }
   role_ = Role::kFollower;
   leader_ = leader;
@@ -282,8 +282,7 @@
     role_ = Role::kLearner;
   } else if (role_ == Role::kLearner) {
     role_ = Role::kFollower;
-    ResetElectionDeadline(options_.election_timeout,
-                          2 * options_.election_timeout);
+    AwaitLeader();
   }
 }
 
