--- a/libs/control/src/leader_service.cc
+++ b/libs/control/src/leader_service.cc
@@ -9,8 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "cluster_reply.h"
 #include "leader_term.h"
+#include "propose_reply.h"
 #include "telemetry/decision.h"
 #include "telemetry/log.h"
 #include "wire/codec.h"
@@ -162,10 +162,10 @@
                              why.message + codec_why.message));
             return;
           }
-          self->replica_.AddLearner(*member,
-                                    [done](const ProposeResult& result) {
-                                      done(ToClusterReply(result));
-                                    });
+          self->replica_.AddLearner(
+              *member, [done](const ProposeResult& result) {
+                done(ToControlReply(result, nlohmann::json::object()));
+              });
         });
   }
 
@@ -183,7 +183,7 @@
       return;
     }
     replica_.Remove(member->id, [done](const ProposeResult& result) {
-      done(ToClusterReply(result));
+      done(ToControlReply(result, nlohmann::json::object()));
     });
   }
 
--- a/libs/control/src/leader_term.cc
+++ b/libs/control/src/leader_term.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "propose_reply.h"
 #include "reports.h"
 #include "telemetry/decision.h"
 #include "wire/codec.h"
@@ -25,25 +26,6 @@
   return std::max<base::Duration>(lease / kDriftDivisor, kMinDrift);
 }
 
-wire::ControlReply ToControlReply(const ProposeResult& result) {
-  wire::ControlReply reply;
-  reply.message = result.message;
-  switch (result.outcome) {
-    case consensus::Outcome::kCommitted:
-    case consensus::Outcome::kBarrierPassed:
-      reply.status = wire::ReplyStatus::kOk;
-      reply.body = result.result;
-      break;
-    case consensus::Outcome::kNotRun:
-      reply.status = wire::ReplyStatus::kNotRun;
-      break;
-    case consensus::Outcome::kUnknown:
-      reply.status = wire::ReplyStatus::kUnknown;
-      break;
-  }
-  return reply;
-}
-
 // Sets the time of a command that has one to the leader's wall clock.
 void SetCommandTime(wire::Command& command) {
   std::visit(
@@ -226,7 +208,7 @@
                      if (it.outcome == consensus::Outcome::kCommitted) {
                        next(it.result);
                      } else {
-                       done(ToControlReply(it));
+                       done(ToControlReply(it, {}));
                      }
                    });
 }
@@ -260,7 +242,7 @@
   }
   SetCommandTime(*command);
   replica_.Propose(*command, [done](const ProposeResult& result) {
-    done(ToControlReply(result));
+    done(ToControlReply(result, result.result));
   });
 }
 
--- a/libs/control/src/cluster_reply.cc
+++ b/libs/control/src/propose_reply.cc
@@ -1,8 +1,8 @@
 // Entries resend a request that was answered with kNotRun, until its deadline.
 
-#include "cluster_reply.h"
+#include "propose_reply.h"
 
-#include "leader_term.h"
+#include <utility>
 
 namespace sassafras::control {
 namespace {
@@ -21,23 +21,26 @@
   }
 }
 
-wire::ReplyStatus StatusOf(const ProposeResult& result) {
-  if (result.outcome == consensus::Outcome::kUnknown) {
-    return wire::ReplyStatus::kUnknown;
-  }
-  return IsTemporary(result.error) ? wire::ReplyStatus::kNotRun
-                                   : wire::ReplyStatus::kRefused;
-}
-
 }  // namespace
 
-wire::ControlReply ToClusterReply(const ProposeResult& result) {
-  if (result.outcome == consensus::Outcome::kCommitted) {
-    return OkReply(nlohmann::json::object());
-  }
+wire::ControlReply ToControlReply(const ProposeResult& result,
+                                  nlohmann::json body) {
   wire::ControlReply reply;
-  reply.status = StatusOf(result);
   reply.message = result.message;
+  switch (result.outcome) {
+    case consensus::Outcome::kCommitted:
+    case consensus::Outcome::kBarrierPassed:
+      reply.status = wire::ReplyStatus::kOk;
+      reply.body = std::move(body);
+      break;
+    case consensus::Outcome::kNotRun:
+      reply.status = IsTemporary(result.error) ? wire::ReplyStatus::kNotRun
+                                               : wire::ReplyStatus::kRefused;
+      break;
+    case consensus::Outcome::kUnknown:
+      reply.status = wire::ReplyStatus::kUnknown;
+      break;
+  }
   return reply;
 }
 
--- a/libs/control/test/cluster_reply_test.cc
+++ b/libs/control/test/propose_reply_test.cc
@@ -1,6 +1,6 @@
-// Tests which changes of the members are refused for good.
+// Tests which proposals are refused for good.
 
-#include "cluster_reply.h"
+#include "propose_reply.h"
 
 #include <gtest/gtest.h>
 
@@ -12,14 +12,15 @@
 using wire::ReplyStatus;
 
 ReplyStatus StatusOf(Outcome outcome, ConsensusError error) {
-  return ToClusterReply({.outcome = outcome, .error = error, .message = "why"})
+  return ToControlReply({.outcome = outcome, .error = error, .message = "why"},
+                        {})
       .status;
 }
 
 // Guards against an operator who is told that the cluster refuses a change that
 // it only can't make yet, such as one sent again while the first sending is
 // under way.
-TEST(ClusterReplyTest, AChangeThatCanNotBeMadeYetIsNotRefused) {
+TEST(ProposeReplyTest, AChangeThatCanNotBeMadeYetIsNotRefused) {
   for (const auto error :
        {ConsensusError::kNotLeader, ConsensusError::kBusy,
         ConsensusError::kInProgress, ConsensusError::kNoCommitInTerm}) {
@@ -27,7 +28,7 @@
   }
 }
 
-TEST(ClusterReplyTest, AChangeThatNeverCanBeMadeIsRefused) {
+TEST(ProposeReplyTest, AChangeThatNeverCanBeMadeIsRefused) {
   for (const auto error :
        {ConsensusError::kIsMember, ConsensusError::kNotMember,
         ConsensusError::kLastVoter}) {
@@ -35,7 +36,7 @@
   }
 }
 
-TEST(ClusterReplyTest, AChangeThatMayStillBeMadeIsUnknown) {
+TEST(ProposeReplyTest, AChangeThatMayStillBeMadeIsUnknown) {
   EXPECT_EQ(StatusOf(Outcome::kUnknown, ConsensusError::kLostLeader),
             ReplyStatus::kUnknown);
   EXPECT_EQ(StatusOf(Outcome::kCommitted, ConsensusError::kNone),
