--- a/tests/harness/cluster.cc
+++ b/tests/harness/cluster.cc
@@ -216,24 +216,27 @@
   return true;
 }
 
+nlohmann::json Cluster::Replicas() const {
+  const auto report = AsPlatformAnywhere("GET", "/v1/report/cluster").json();
+  return report.is_object() ? report.value("replicas", nlohmann::json())
+                            : nlohmann::json();
+}
+
 bool Cluster::AwaitVoters(size_t count) const {
   return Await([&] {
-    const auto report = AsPlatformAnywhere("GET", "/v1/report/cluster").json();
-    if (!report.is_object() || !report.contains("replicas")) {
-      return false;
-    }
+    const auto replicas = Replicas();
     const auto is_voter = [](auto& it) { return it["role"] == "voter"; };
-    return static_cast<size_t>(
-               std::ranges::count_if(report["replicas"], is_voter)) == count;
+    return replicas.is_array() && static_cast<size_t>(std::ranges::count_if(
+                                      replicas, is_voter)) == count;
   });
 }
 
 std::optional<bool> Cluster::IsMember(const std::string& name) const {
-  const auto report = AsPlatformAnywhere("GET", "/v1/report/cluster").json();
-  if (!report.is_object() || !report.contains("replicas")) {
+  const auto replicas = Replicas();
+  if (!replicas.is_array()) {
     return std::nullopt;
   }
-  return std::ranges::any_of(report["replicas"],
+  return std::ranges::any_of(replicas,
                              [&](auto& it) { return it["name"] == name; });
 }
 
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "http_call.h"
 #include "process.h"
 #include "relay.h"
@@ -98,6 +100,9 @@
   void WriteSettings(const Node& node) const;
   CallTarget PeerTarget(const std::string& from, const Node& to) const;
   bool AddReplicas() const;
+  // Returns the members as the control replicas list them, or JSON null if none
+  // of them answers.
+  nlohmann::json Replicas() const;
 
   std::string subnet_;  // "127.X.Y."
   std::filesystem::path folder_;
