--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -126,6 +127,13 @@
     kLeaseExpired,
     kLaterBoot,  // a later boot has its id or its address
   };
+  // Why a run is over although its worker is not lost.
+  enum class EndProof {
+    kReported,  // the worker lists its end
+    kUnlisted,  // the worker lists it neither as running nor as ended
+    kRejected,  // the worker has rejected its start
+    kUnsent,    // its start was never sent
+  };
   // Proposes that all runs of the worker have ended.
   void DeclareLost(const jobs::WorkerSession& session, LossProof proof);
   void DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor);
@@ -171,7 +179,12 @@
   void OnHoldReply(const jobs::WorkerBoot& boot, const jobs::HoldReply& reply);
   void AddLateReports(const jobs::WorkerBoot& boot,
                       const jobs::HoldReply& reply);
-  void AddEnd(jobs::EndRun end);
+  static std::string_view ProofName(EndProof proof);
+  static std::string_view ProofName(LossProof proof);
+  void AddEnd(jobs::EndRun end, EndProof proof);
+  // Logs that a run is taken for over which its worker hasn't reported as
+  // ended.
+  void LogGivenUp(const jobs::EndRun& end, std::string_view proof);
   void StopOtherGangMembers(const jobs::EndRun& end);
   jobs::WorkerSession* FindSession(const jobs::WorkerBoot& boot);
   void PaceFillers(jobs::WorkerSession& session);
--- a/libs/jobcontrol/src/leader_losses.cc
+++ b/libs/jobcontrol/src/leader_losses.cc
@@ -35,6 +35,10 @@
 
 }  // namespace
 
+std::string_view Leader::ProofName(LossProof proof) {
+  return proof == LossProof::kLaterBoot ? "later-boot" : "lease";
+}
+
 void Leader::RemoveLostWorkers() {
   const base::Instant now = context_.Now();
   for (auto& session : sessions_ | std::views::values) {
@@ -67,7 +71,7 @@
   Decision("worker-lost")
       .With("worker", session.boot().id)
       .With("boot", session.boot().started_ms)
-      .With("proof", proof == LossProof::kLaterBoot ? "later-boot" : "lease")
+      .With("proof", ProofName(proof))
       .With("refuses", session.RefusesConnections())
       .With("silent_us", context_.Now() - session.LastSignOfLife())
       .Write();
@@ -91,6 +95,7 @@
                            jobs::RunOutcome::kLeaseExpired,
                            session.CheckpointOf(run.task, run.run), true,
                            roles[n], context_.WallNow()});
+    LogGivenUp(batch_.ends.back(), ProofName(proof));
   }
   batch_.removed_workers.push_back(session.boot());
 }
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -22,6 +22,20 @@
 
 }  // namespace
 
+std::string_view Leader::ProofName(EndProof proof) {
+  switch (proof) {
+    case EndProof::kReported:
+      return "reported";
+    case EndProof::kUnlisted:
+      return "unlisted";
+    case EndProof::kRejected:
+      return "rejected";
+    case EndProof::kUnsent:
+      return "unsent";
+  }
+  return "unknown";
+}
+
 void Leader::Dispatch(const jobs::StartRun& start) {
   jobs::WorkerSession* session = FindSession(start.worker);
   const jobs::JobRecord* job = context_.table().FindJob(start.task.step.job);
@@ -90,7 +104,7 @@
                      const jobs::TaskKey& task,
                      uint64_t run) {
   if (auto end = session.Stop(task, run)) {
-    AddEnd(*std::move(end));
+    AddEnd(*std::move(end), EndProof::kUnsent);
     return true;
   }
   return false;
@@ -224,7 +238,7 @@
         .Write();
   }
   if (auto end = session->OnOrderReply(call, reply, context_.Now())) {
-    AddEnd(*std::move(end));
+    AddEnd(*std::move(end), EndProof::kRejected);
   }
   SendPendingCalls(*session);
   Flush();
@@ -242,7 +256,11 @@
   jobs::HoldOutcome outcome = session->OnHoldReply(reply, context_.Now());
   needs_plan_ |= session->IsUsable(context_.Now()) != was_usable;
   if (!outcome.ends.empty()) {
-    std::ranges::for_each(outcome.ends, [this](auto& end) { AddEnd(end); });
+    for (const jobs::EndRun& end : outcome.ends) {
+      AddEnd(end, end.outcome == jobs::RunOutcome::kRejected
+                      ? EndProof::kUnlisted
+                      : EndProof::kReported);
+    }
     batch_.cursors.push_back({boot, outcome.end_cursor});
   }
   // Without a reply the session still holds the rows of an earlier hold reply,
@@ -263,14 +281,17 @@
                             const jobs::HoldReply& reply) {
   for (const jobs::EndReport& report : reply.ended) {
     if (IsWanted(report.task)) {
-      AddEnd(
-          {boot, report.task, report.run, report.outcome, report.checkpoint});
+      AddEnd({boot, report.task, report.run, report.outcome, report.checkpoint},
+             EndProof::kReported);
     }
   }
   Flush();
 }
 
-void Leader::AddEnd(jobs::EndRun end) {
+void Leader::AddEnd(jobs::EndRun end, EndProof proof) {
+  if (proof != EndProof::kReported) {
+    LogGivenUp(end, ProofName(proof));
+  }
   Decision("end")
       .With("task", FormatTaskName(end.task))
       .With("run", end.run)
@@ -292,6 +313,25 @@
   }
 }
 
+void Leader::LogGivenUp(const jobs::EndRun& end, std::string_view proof) {
+  Decision line("given-up");
+  line.With("task", FormatTaskName(end.task))
+      .With("run", end.run)
+      .With("worker", end.worker.id)
+      .With("boot", end.worker.started_ms)
+      .With("proof", proof)
+      .With("term", options_.term);
+  if (const jobs::WorkerSession* session = FindSession(end.worker)) {
+    const jobs::LeaseReading lease = session->ReadLease(context_.Now());
+    line.With("lease_ms", lease.bound_ms);
+    if (lease.clock_ms) {
+      line.With("clock_ms", *lease.clock_ms)
+          .With("clock_age_us", lease.clock_age);
+    }
+  }
+  line.Write();
+}
+
 // Stops the other members of the gang, which would wait in vain for the
 // rejected one.
 void Leader::StopOtherGangMembers(const jobs::EndRun& end) {
@@ -312,6 +352,7 @@
         continue;
       }
       if (auto stopped = session.Stop(run.task, run.run)) {
+        LogGivenUp(*stopped, ProofName(EndProof::kUnsent));
         batch_.ends.push_back(*std::move(stopped));
       }
     }
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -11,6 +11,15 @@
 
 namespace sassafras::jobs {
 
+// What the end of a lease is judged by, for the log. Times in milliseconds are
+// on the worker's clock.
+struct LeaseReading {
+  int64_t bound_ms = 0;  // the latest that was sent; 0 if none
+  std::optional<int64_t>
+      clock_ms;                // the last reading; nullopt before the first
+  base::Duration clock_age{};  // since that reading
+};
+
 // Lease of one worker process (boot), measured on the worker's own clock. The
 // worker reports its clock in heartbeats and replies. The leader extrapolates
 // between readings at the rate `kSlowestClock`, so its estimate never runs
@@ -41,6 +50,8 @@
   // Whether every bound that was ever sent has passed.
   bool IsExpired(base::Instant now) const;
 
+  LeaseReading Read(base::Instant now) const;
+
  private:
   int64_t ClockAt(base::Instant now) const;
 
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -174,6 +174,7 @@
   // said that it leaves, and its lease has expired. Refused connections don't
   // prove that earlier.
   bool IsLost(base::Instant now) const;
+  LeaseReading ReadLease(base::Instant now) const { return lease_.Read(now); }
   // Whether it has refused connections since its last sign of life. Its process
   // has probably exited, but may as well be cut off.
   bool RefusesConnections() const { return refused_since_.has_value(); }
--- a/libs/jobs/src/lease.cc
+++ b/libs/jobs/src/lease.cc
@@ -52,4 +52,12 @@
          (clock_ms_ && ClockAt(now) > latest_bound_ms_);
 }
 
+LeaseReading WorkerLease::Read(base::Instant now) const {
+  LeaseReading reading{latest_bound_ms_, clock_ms_, {}};
+  if (clock_ms_) {
+    reading.clock_age = now - clock_read_at_;
+  }
+  return reading;
+}
+
 }  // namespace sassafras::jobs
