Orders: a rejection without the worker's clock may not be the worker's (TWICE)

Callers would see a task that runs twice, beside each other: a start was carried out, somebody on the way answered 503 (or 429, 400, 409), and the task was started again elsewhere.

Cause: such a status counted as the worker's rejection, though the answer told no clock, as each answer of a worker with a body does.

Change: without the clock, an acceptance is no answer, and a rejection is believed only after a stop that the worker itself has answered, and a look. A start with such an answer isn't unsent when it is withdrawn.

Tests that answered for a worker without its clock now tell it, as workers do.

--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -226,7 +226,7 @@
   // Has the worker "w" run the task of the job "j".
   void RunTask() {
     ASSERT_NO_FATAL_FAILURE(OrderTask());
-    context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+    context_.orders[0].done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   }
 
   const jobs::StartOrder& FirstStart() const {
--- a/libs/jobcontrol/test/leader_test.cc
+++ b/libs/jobcontrol/test/leader_test.cc
@@ -32,7 +32,7 @@
   context_.AnswerHolds({});
   Submit("j");
   context_.Commit();
-  context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  context_.orders[0].done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   jobs::HoldReply lists;
   lists.ended = {{1, FirstStart().task, 1, jobs::RunOutcome::kDone, ""}};
   context_.AnswerHolds(lists);
@@ -53,7 +53,7 @@
   Submit("j");
   context_.Commit();
   const base::Instant ordered = context_.Now();
-  context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  context_.orders[0].done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   AddWorker("v");
   const auto count_starts = [&] { return context_.orders.size(); };
   const size_t before = count_starts();
@@ -143,7 +143,7 @@
   context_.Commit();
   ASSERT_EQ(context_.orders.size(), 2U);
   for (auto& order : std::exchange(context_.orders, {})) {
-    order.done({jobs::OrderResult::kAccepted, std::nullopt});
+    order.done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   }
   context_.leader->Cancel(wire::JobId("j"), [](RecordResult) {});
   context_.Commit();
@@ -200,7 +200,7 @@
       [](RecordResult) {});
   context_.Commit();
   const jobs::TaskKey task = FirstStart().task;
-  context_.orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
+  context_.orders[0].done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   while (context_.table().FindWorker(wire::WorkerId("w")) != nullptr &&
          context_.ClockMs() < kGiveUpMs) {
     answer("v", {});
@@ -255,7 +255,7 @@
   Submit("j");
   context_.Commit();
   for (auto& order : std::exchange(context_.orders, {})) {
-    order.done({jobs::OrderResult::kAccepted, std::nullopt});
+    order.done({jobs::OrderResult::kAccepted, context_.ClockMs()});
   }
   jobs::HoldReply lists;
   const jobs::TaskKey task{{wire::JobId("j"), 0, 0}, 0};
@@ -284,8 +284,8 @@
   context_.Commit();
   ASSERT_EQ(context_.orders.size(), 2U);
   auto orders = std::exchange(context_.orders, {});
-  orders[0].done({jobs::OrderResult::kAccepted, std::nullopt});
-  orders[1].done({jobs::OrderResult::kNoTicket, std::nullopt});
+  orders[0].done({jobs::OrderResult::kAccepted, context_.ClockMs()});
+  orders[1].done({jobs::OrderResult::kNoTicket, context_.ClockMs()});
   context_.Advance(milliseconds(1));
   ASSERT_EQ(context_.orders.size(), 1U);
   EXPECT_TRUE(
@@ -298,7 +298,7 @@
   context_.AnswerHolds({});
   Submit("j");
   context_.Commit();
-  context_.orders[0].done({jobs::OrderResult::kNoCapacity, std::nullopt});
+  context_.orders[0].done({jobs::OrderResult::kNoCapacity, context_.ClockMs()});
   context_.Commit();
   ASSERT_EQ(context_.orders.size(), 2U);
   EXPECT_EQ(std::get<jobs::StartOrder>(context_.orders[1].call.order).run, 2U);
--- a/libs/jobcontrol/test/lost_worker_test.cc
+++ b/libs/jobcontrol/test/lost_worker_test.cc
@@ -13,13 +13,13 @@
 // they are stopped or the test ends them.
 class FakeWorker {
  public:
-  jobs::OrderReply Answer(const jobs::OrderCall& call) {
+  jobs::OrderReply Answer(const jobs::OrderCall& call, int64_t clock_ms) {
     if (const auto* start = std::get_if<jobs::StartOrder>(&call.order)) {
       running_.push_back({start->task, start->run, start->checkpoint, 1, 0});
     } else if (const auto* stop = std::get_if<jobs::StopOrder>(&call.order)) {
       End(stop->task, stop->run, jobs::RunOutcome::kStopped);
     }
-    return {jobs::OrderResult::kAccepted, std::nullopt};
+    return {jobs::OrderResult::kAccepted, clock_ms};
   }
 
   jobs::HoldReply Answer(const jobs::HoldCall& call, int64_t clock_ms) {
@@ -258,7 +258,8 @@
 
   void AnswerOrders() {
     for (auto& order : std::exchange(context_.orders, {})) {
-      order.done(WorkerAt(order.worker.boot.id.str()).Answer(order.call));
+      order.done(WorkerAt(order.worker.boot.id.str())
+                     .Answer(order.call, context_.ClockMs()));
     }
   }
 
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -65,7 +65,8 @@
 };
 struct OrderReply {
   OrderResult result = OrderResult::kNoAnswer;
-  std::optional<int64_t> clock_ms;  // worker's clock
+  // The worker's clock; nullopt if the answer may not be the worker's.
+  std::optional<int64_t> clock_ms;
 };
 
 // Long poll: renews the lease, acknowledges recorded run ends and returns the
@@ -203,7 +204,8 @@
   struct RunState {
     Phase phase = Phase::kInherited;
     StartOrder order;
-    // A start got no reply, so the worker may still carry it out at any time.
+    // A start got no reply that is surely the worker's, so the worker may have
+    // carried it out, or may still do so.
     bool may_start_late = false;
     bool is_in_flight = false;
     base::Instant next_order_at;
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -30,6 +30,16 @@
 // A list of run ends that reaches this length may be truncated.
 constexpr size_t kMaxListedEnds = 500;
 
+// A worker's answer tells its clock. Without it, a host on the way may have
+// answered: that the order was carried out is then not known. That it wasn't is
+// no more known, but says where not to repeat it.
+OrderResult WordOfTheWorker(const OrderReply& reply) {
+  const bool is_carried_out = reply.result == OrderResult::kAccepted ||
+                              reply.result == OrderResult::kOutdated;
+  return is_carried_out && !reply.clock_ms ? OrderResult::kNoAnswer
+                                           : reply.result;
+}
+
 }  // namespace
 
 WorkerSession::WorkerSession(const WorkerRecord& record,
@@ -83,7 +93,9 @@
     return std::nullopt;
   }
   RunState& state = it->second;
-  if (state.phase == Phase::kQueued && !state.is_in_flight) {
+  const bool is_unsent = state.phase == Phase::kQueued && !state.is_in_flight &&
+                         !state.may_start_late;
+  if (is_unsent) {
     return CloseRun(it->first, RunOutcome::kRejected);
   }
   if (state.phase != Phase::kStopped) {
@@ -162,14 +174,15 @@
   RunState& state = it->second;
   state.is_in_flight = false;
   state.next_order_at = now + kOrderRetryDelay;
+  const OrderResult result = WordOfTheWorker(reply);
   if (node.mapped().is_stop) {
-    if (reply.result == OrderResult::kAccepted ||
-        reply.result == OrderResult::kOutdated) {
+    if (result == OrderResult::kAccepted || result == OrderResult::kOutdated) {
       MarkStopped(state, now);
     }
     return std::nullopt;
   }
-  return OnStartReply(it->first, state, reply.result, now);
+  state.may_start_late |= !reply.clock_ms.has_value();
+  return OnStartReply(it->first, state, result, now);
 }
 
 std::optional<EndRun> WorkerSession::OnStartReply(const RunKey& key,
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -50,6 +50,17 @@
   std::optional<EndRun> Reply(const OrderCall& call,
                               OrderResult result,
                               int64_t ms) {
+    std::optional<int64_t> clock_ms;
+    if (result != OrderResult::kNoAnswer) {
+      clock_ms = 1000 + ms;
+    }
+    return session_->OnOrderReply(call.id, {result, clock_ms}, At(ms));
+  }
+
+  // A host on the way answers in place of the worker.
+  std::optional<EndRun> ReplyOnTheWay(const OrderCall& call,
+                                      OrderResult result,
+                                      int64_t ms) {
     return session_->OnOrderReply(call.id, {result, std::nullopt}, At(ms));
   }
 
@@ -223,6 +234,46 @@
   EXPECT_EQ(ends[0].outcome, RunOutcome::kRejected);
 }
 
+// Answers of hosts on the way, with statuses of the protocol and without the
+// worker's clock, were taken for the worker's: tasks whose starts had been
+// carried out were started again elsewhere.
+TEST_F(WorkerSessionTest, ARejectionWithoutTheWorkersClockEndsNoRun) {
+  using enum OrderResult;
+  for (const OrderResult result :
+       {kUnhealthy, kMalformed, kNoCapacity, kTooLate, kNoTicket}) {
+    Open({});
+    Poll(0);
+    StartTask();
+    auto calls = session_->TakeOrders(At(10));
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_FALSE(ReplyOnTheWay(calls[0], result, 12));
+    calls = session_->TakeOrders(At(12));
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<StopOrder>(calls[0].order));
+    EXPECT_FALSE(ReplyOnTheWay(calls[0], kAccepted, 13));
+    EXPECT_TRUE(Poll(14).ends.empty()) << "the stop isn't known to be taken";
+    calls = session_->TakeOrders(At(200));
+    ASSERT_EQ(calls.size(), 1U);
+    Reply(calls[0], kAccepted, 201);
+    EXPECT_EQ(Poll(800).ends.size(), 1U);
+  }
+}
+
+TEST_F(WorkerSessionTest, AnAcceptanceWithoutTheWorkersClockIsAskedForAgain) {
+  Poll(0);
+  StartTask();
+  int64_t ms = 10;
+  for (const OrderResult result :
+       {OrderResult::kAccepted, OrderResult::kOutdated}) {
+    const auto calls = session_->TakeOrders(At(ms));
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<StartOrder>(calls[0].order));
+    EXPECT_FALSE(ReplyOnTheWay(calls[0], result, ms + 1));
+    ms += 200;
+  }
+  EXPECT_TRUE(session_->IsStartPending(Task("j"), 1));
+}
+
 TEST_F(WorkerSessionTest, AnInheritedRunThatIsNotListedNeverStarts) {
   Open({{Task("j"), 3, {}}});
   const auto ends = Poll(0).ends;
