--- a/libs/jobcontrol/src/relay_messages.cc
+++ b/libs/jobcontrol/src/relay_messages.cc
@@ -91,12 +91,14 @@
           reply.clock_ms,
           reply.running,
           reply.ended,
-          reply.unread_ends};
+          reply.unread_ends,
+          reply.unread_running};
 }
 
 jobs::HoldReply ToHoldReply(const RelayedHoldReply& reply) {
-  return {reply.is_answered, reply.is_refused, reply.clock_ms,
-          reply.running,     reply.ended,      reply.unread_ends};
+  return {reply.is_answered,   reply.is_refused, reply.clock_ms,
+          reply.running,       reply.ended,      reply.unread_ends,
+          reply.unread_running};
 }
 
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/src/relay_messages.h
+++ b/libs/jobcontrol/src/relay_messages.h
@@ -89,6 +89,7 @@
   std::vector<jobs::RunReport> running;
   std::vector<jobs::EndReport> ended;
   uint64_t unread_ends = 0;
+  uint64_t unread_running = 0;
 };
 WIRE_DEFINE_ARRAY(RelayedHoldReply,
                   id,
@@ -97,7 +98,8 @@
                   clock_ms,
                   running,
                   ended,
-                  unread_ends)
+                  unread_ends,
+                  unread_running)
 
 struct RelayReply {
   std::vector<RelayedOrderReply> orders;
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -104,7 +104,8 @@
   int64_t clock_ms = 0;
   std::vector<RunReport> running;
   std::vector<EndReport> ended;
-  uint64_t unread_ends = 0;  // rows of the list of ends that can't be read
+  uint64_t unread_ends = 0;     // rows of the list of ends that can't be read
+  uint64_t unread_running = 0;  // the same of the list of running tasks
 };
 
 // Run ends concluded from a hold reply, and the position up to which the
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -308,9 +308,12 @@
       may_have_due_orders_ = true;
     }
   }
+  // A row that can't be read may be that of any run.
+  const bool is_list_whole = reply.unread_running == 0;
   std::vector<RunKey> closed;
   for (auto& [key, state] : runs_) {
-    if (auto end = ReconcileRun(key, state, running.contains(key))) {
+    auto end = ReconcileRun(key, state, running.contains(key));
+    if (end && is_list_whole) {
       outcome.ends.push_back(*std::move(end));
       closed.push_back(key);
     }
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -282,6 +282,16 @@
   EXPECT_EQ(ends[0].outcome, RunOutcome::kRejected);
 }
 
+// The row of a running task that couldn't be read was left out, and its task
+// was started again beside it.
+TEST_F(WorkerSessionTest, ARunIsNotAbsentFromAListThatIsReadInPart) {
+  Open({{Task("j"), 3, {}}});
+  HoldReply reply;
+  reply.unread_running = 1;
+  EXPECT_TRUE(Poll(0, reply).ends.empty());
+  EXPECT_EQ(Poll(800).ends.size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, AnInheritedRunThatIsListedContinues) {
   Open({{Task("j"), 3, {}}});
   EXPECT_TRUE(Poll(0, Running(3)).ends.empty());
