--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -173,10 +173,16 @@
   size_t SendPendingCalls(jobs::WorkerSession& session);
   void StartCallRound();
   void ContinueCallRound();
-  void OnOrderReply(const jobs::WorkerBoot& boot,
+  // A boot that was lost may return, and gets another session. A reply belongs
+  // to the session that made the call.
+  struct SessionId {
+    jobs::WorkerBoot boot;
+    uint64_t number = 0;  // unique within the term
+  };
+  void OnOrderReply(const SessionId& id,
                     uint64_t call,
                     const jobs::OrderReply& reply);
-  void OnHoldReply(const jobs::WorkerBoot& boot, const jobs::HoldReply& reply);
+  void OnHoldReply(const SessionId& id, const jobs::HoldReply& reply);
   void AddLateReports(const jobs::WorkerBoot& boot,
                       const jobs::HoldReply& reply);
   static std::string_view ProofName(EndProof proof);
@@ -187,6 +193,7 @@
   void LogGivenUp(const jobs::EndRun& end, std::string_view proof);
   void StopOtherGangMembers(const jobs::EndRun& end);
   jobs::WorkerSession* FindSession(const jobs::WorkerBoot& boot);
+  jobs::WorkerSession* FindSession(const SessionId& id);
   void PaceFillers(jobs::WorkerSession& session);
   void StopStragglers(jobs::WorkerSession& session);
   const jobs::StepSpec* FindStepSpec(const jobs::TaskKey& task) const;
@@ -198,6 +205,7 @@
   jobs::AdviceTracker advice_;
   jobs::ProgressMonitor progress_;
   std::map<wire::WorkerId, jobs::WorkerSession> sessions_;
+  uint64_t last_session_ = 0;  // number of the session opened last
   // The last pace sent to open filler runs, in percent of full speed; runs
   // without an entry are at full pace.
   std::map<std::pair<jobs::TaskKey, uint64_t>, uint32_t> filler_paces_;
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -64,7 +64,8 @@
 }
 
 void Leader::OpenSession(const jobs::WorkerRecord& record) {
-  jobs::WorkerSession session(record, options_.session, context_.Now());
+  jobs::WorkerSession session(record, options_.session, context_.Now(),
+                              ++last_session_);
   sessions_.insert_or_assign(record.info.boot.id, std::move(session));
 }
 
@@ -74,6 +75,12 @@
   return is_found ? &it->second : nullptr;
 }
 
+jobs::WorkerSession* Leader::FindSession(const SessionId& id) {
+  jobs::WorkerSession* session = FindSession(id.boot);
+  const bool is_found = session != nullptr && session->number() == id.number;
+  return is_found ? session : nullptr;
+}
+
 // --- External changes ---
 
 void Leader::Submit(jobs::AddJob job, RecordDone done) {
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -197,34 +197,36 @@
   if (workers_being_removed_.contains(boot)) {
     return 0;
   }
+  const SessionId session_id{boot, session.number()};
   session.OnLeadership(context_.LeadershipConfirmedAt());
   const auto orders = session.TakeOrders(now);
   size_t calls = orders.size();
   for (const jobs::OrderCall& call : orders) {
     context_.workers().Order(
         session.info(), call, options_.term,
-        [weak = weak_from_this(), boot, id = call.id](const auto& reply) {
+        [weak = weak_from_this(), session_id, id = call.id](const auto& reply) {
           if (const auto self = weak.lock()) {
-            self->OnOrderReply(boot, id, reply);
+            self->OnOrderReply(session_id, id, reply);
           }
         });
   }
   if (const auto call = session.TakeHold(now)) {
     ++calls;
-    context_.workers().Hold(session.info(), *call, options_.term,
-                            [weak = weak_from_this(), boot](const auto& reply) {
-                              if (const auto self = weak.lock()) {
-                                self->OnHoldReply(boot, reply);
-                              }
-                            });
+    context_.workers().Hold(
+        session.info(), *call, options_.term,
+        [weak = weak_from_this(), session_id](const auto& reply) {
+          if (const auto self = weak.lock()) {
+            self->OnHoldReply(session_id, reply);
+          }
+        });
   }
   return calls;
 }
 
-void Leader::OnOrderReply(const jobs::WorkerBoot& boot,
+void Leader::OnOrderReply(const SessionId& id,
                           uint64_t call,
                           const jobs::OrderReply& reply) {
-  jobs::WorkerSession* session = FindSession(boot);
+  jobs::WorkerSession* session = FindSession(id);
   if (session == nullptr) {
     return;
   }
@@ -233,7 +235,7 @@
   }
   if (reply.result != jobs::OrderResult::kAccepted) {
     Decision("order-failed")
-        .With("worker", boot.id)
+        .With("worker", id.boot.id)
         .With("result", static_cast<int>(reply.result))
         .Write();
   }
@@ -244,11 +246,10 @@
   Flush();
 }
 
-void Leader::OnHoldReply(const jobs::WorkerBoot& boot,
-                         const jobs::HoldReply& reply) {
-  jobs::WorkerSession* session = FindSession(boot);
+void Leader::OnHoldReply(const SessionId& id, const jobs::HoldReply& reply) {
+  jobs::WorkerSession* session = FindSession(id);
   if (session == nullptr) {
-    AddLateReports(boot, reply);
+    AddLateReports(id.boot, reply);
     return;
   }
   const bool was_usable = session->IsUsable(context_.Now());
@@ -261,7 +262,7 @@
                       ? EndProof::kUnlisted
                       : EndProof::kReported);
     }
-    batch_.cursors.push_back({boot, outcome.end_cursor});
+    batch_.cursors.push_back({id.boot, outcome.end_cursor});
   }
   // Without a reply the session still holds the rows of an earlier hold reply,
   // which must not be evaluated twice.
--- a/libs/jobcontrol/test/removed_worker_test.cc
+++ b/libs/jobcontrol/test/removed_worker_test.cc
@@ -58,5 +58,45 @@
   EXPECT_EQ(context_.table().FindWorker(wire::WorkerId("w")), nullptr);
 }
 
+// The replies to the calls of a session were taken for those of the next one
+// with the same boot: a late rejection of its first start ended the first run
+// of the next session, which the worker carried out.
+TEST_F(RemovedWorkerTest, AReplyToACallOfAnEarlierSessionEndsNoRun) {
+  ASSERT_NO_FATAL_FAILURE(OrderTask());
+  auto first_start = std::exchange(context_.orders, {});
+  auto first_holds = std::exchange(context_.holds, {});
+  while (context_.waiting() == 0 && !HasTimedOut()) {
+    context_.Advance(milliseconds(100));
+  }
+  context_.Commit();
+  ASSERT_EQ(context_.table().FindWorker(wire::WorkerId("w")), nullptr);
+  AddWorker("w");
+  context_.AnswerHolds({});
+  context_.Commit();
+  ASSERT_EQ(context_.orders.size(), 1U);
+  const jobs::StartOrder second = FirstStart();
+  first_start[0].done({jobs::OrderResult::kTooLate, context_.ClockMs()});
+  context_.Commit();
+  const auto* worker = context_.table().FindWorker(wire::WorkerId("w"));
+  EXPECT_NE(worker->FindRun(second.task, second.run), nullptr);
+  EXPECT_EQ(context_.orders.size(), 1U);
+}
+
+// So was the reply to a hold, after which two were open at once.
+TEST_F(RemovedWorkerTest, AReplyToAHoldOfAnEarlierSessionOpensNoOther) {
+  ASSERT_NO_FATAL_FAILURE(OrderTask());
+  auto first_holds = std::exchange(context_.holds, {});
+  ASSERT_EQ(first_holds.size(), 1U);
+  while (context_.waiting() == 0 && !HasTimedOut()) {
+    context_.Advance(milliseconds(100));
+  }
+  context_.Commit();
+  AddWorker("w");
+  ASSERT_EQ(context_.holds.size(), 1U);
+  first_holds[0].done({true, false, context_.ClockMs(), {}, {}});
+  context_.Advance(milliseconds(100));
+  EXPECT_EQ(context_.holds.size(), 1U);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -126,11 +126,14 @@
 class WorkerSession {
  public:
   // `record` is the worker's record at the start of the term or of the boot.
-  // The runs in it were ordered by earlier leaders.
+  // The runs in it were ordered by earlier leaders. `number` distinguishes the
+  // session from others with the same boot.
   WorkerSession(const WorkerRecord& record,
                 const SessionOptions& options,
-                base::Instant now);
+                base::Instant now,
+                uint64_t number = 0);
 
+  uint64_t number() const { return number_; }
   const WorkerBoot& boot() const { return info_.boot; }
   const WorkerInfo& info() const { return info_; }
 
@@ -235,6 +238,7 @@
   // Returns the lease bound to send now; 0 leaves the lease unchanged.
   int64_t ExtendLease(base::Instant now);
 
+  uint64_t number_ = 0;
   WorkerInfo info_;
   SessionOptions options_;
   WorkerLease lease_;
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -44,8 +44,10 @@
 
 WorkerSession::WorkerSession(const WorkerRecord& record,
                              const SessionOptions& options,
-                             base::Instant now)
-    : info_(record.info),
+                             base::Instant now,
+                             uint64_t number)
+    : number_(number),
+      info_(record.info),
       options_(options),
       lease_(now, options.inherited_lease),
       leads_at_(now),
