Leader: the lists of another boot report no ends of a lost worker

Cause: the answer of another boot to a hold counts as unanswered, but its rows were read when the session had ended meanwhile.

Change: they aren't read. Found by the review of the trace.

Evidence: TheListsOfAnotherBootReportNoEnds fails without the guard. Not seen with processes.

--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -280,6 +280,9 @@
 // again. Its ends aren't acknowledged.
 void Leader::AddLateReports(const jobs::WorkerBoot& boot,
                             const jobs::HoldReply& reply) {
+  if (!reply.is_answered) {
+    return;  // The lists may be those of another boot.
+  }
   for (const jobs::EndReport& report : reply.ended) {
     if (IsWanted(report.task)) {
       AddEnd({boot, report.task, report.run, report.outcome, report.checkpoint},
--- a/libs/jobcontrol/test/removed_worker_test.cc
+++ b/libs/jobcontrol/test/removed_worker_test.cc
@@ -98,5 +98,25 @@
   EXPECT_EQ(context_.holds.size(), 1U);
 }
 
+// The lists of a later boot were taken for those of the removed one.
+TEST_F(RemovedWorkerTest, TheListsOfAnotherBootReportNoEnds) {
+  ASSERT_NO_FATAL_FAILURE(OrderTask());
+  const jobs::StartOrder start = FirstStart();
+  const auto holds = std::exchange(context_.holds, {});
+  while (context_.waiting() == 0 && !HasTimedOut()) {
+    context_.Advance(milliseconds(100));
+  }
+  context_.Commit();
+  jobs::HoldReply reply;
+  reply.clock_ms = context_.ClockMs();
+  reply.ended = {{1, start.task, start.run, jobs::RunOutcome::kDone, ""}};
+  holds.at(0).done(reply);
+  context_.Commit();
+  EXPECT_FALSE(context_.table()
+                   .FindJob(start.task.step.job)
+                   ->FindTask(start.task)
+                   ->is_done);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
