Leases: a worker has time to end its runs before they count as over (TWICE)

Callers saw tasks that ran twice, beside each other, for some tens of milliseconds up to the time that a worker takes to end a run.

Cause: a lost worker's tasks were started again when the bound of its lease had passed. That is when the worker begins to end them. The 2% by which its clock may be slow, the tick and the commit left 0 to 150 ms.

Change: runs count as over when the longest time that workers take to end one has passed as well: max_stop_ms, StopMs of the platform. The simulated workers take time to end runs.

--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -185,7 +185,8 @@
   void Elect(uint64_t term) {
     context_.holds.clear();
     context_.orders.clear();
-    context_.leader = Leader::Create(context_, {term, {}}, metrics_);
+    context_.leader =
+        Leader::Create(context_, {term, session_options_}, metrics_);
   }
 
   jobs::WorkerInfo Worker(const std::string& id) const {
@@ -235,6 +236,7 @@
 
   std::unique_ptr<telemetry::Metrics> registry_ = telemetry::Metrics::Create();
   LeaderMetrics metrics_;
+  jobs::SessionOptions session_options_;  // of leaders that are elected later
   FakeLeaderContext context_;
   RecordResult submitted_ = RecordResult::kNotRecorded;
 };
--- a/libs/jobcontrol/test/run_ends_test.cc
+++ b/libs/jobcontrol/test/run_ends_test.cc
@@ -22,6 +22,7 @@
 constexpr milliseconds kEventPeriod(400);
 // After the last event, all jobs must be completed within this time.
 constexpr milliseconds kSettleTime(30'000);
+constexpr milliseconds kStopTime(500);
 
 enum class EventKind {
   kRefuse,
@@ -60,6 +61,8 @@
 class RunEndsTest : public LeaderTest {
  protected:
   RunEndsTest() {
+    session_options_.stop_time = kStopTime;
+    Elect(term_);
     for (size_t n = 0; n < kWorkers; ++n) {
       workers_.Add(Worker(std::to_string(n)), n % 2 == 0 ? 1.0 : 0.98);
     }
@@ -119,7 +122,7 @@
 
   void StopSubmitting() { next_submission_ = base::Instant::max(); }
 
-  SimulatedWorkers workers_{context_};
+  SimulatedWorkers workers_{context_, kStopTime};
 
  private:
   // Another leader follows, who knows what was recorded.
--- a/libs/jobcontrol/test/simulated_workers.cc
+++ b/libs/jobcontrol/test/simulated_workers.cc
@@ -151,16 +151,32 @@
 }
 
 void SimulatedWorkers::EndRuns(Worker& worker) {
-  const bool has_lapsed = ClockMs(worker) >= worker.lease_until_ms;
+  const int64_t clock_ms = ClockMs(worker);
+  if (clock_ms >= worker.lease_until_ms) {
+    for (Running& run : worker.runs) {
+      BeginToEnd(run, jobs::RunOutcome::kLeaseExpired, worker.lease_until_ms);
+    }
+  }
   for (const Running& run : std::vector(worker.runs)) {
-    if (has_lapsed) {
-      End(worker, run, jobs::RunOutcome::kLeaseExpired);
+    if (run.ends_at_ms) {
+      if (clock_ms >= *run.ends_at_ms) {
+        End(worker, run, run.ends_as);
+      }
     } else if (Now() - run.started >= WorkTime(run.task)) {
       End(worker, run, jobs::RunOutcome::kDone);
     }
   }
 }
 
+void SimulatedWorkers::BeginToEnd(Running& run,
+                                  jobs::RunOutcome outcome,
+                                  int64_t clock_ms) {
+  if (!run.ends_at_ms) {
+    run.ends_at_ms = clock_ms + stop_time_.count();
+    run.ends_as = outcome;
+  }
+}
+
 void SimulatedWorkers::Restart(Worker& worker) {
   worker.is_up = true;
   worker.up_since = Now();
@@ -237,7 +253,8 @@
       return it.task == stop->task && it.run == stop->run;
     });
     if (run != worker.runs.end()) {
-      End(worker, Running(*run), jobs::RunOutcome::kStopped);
+      BeginToEnd(*run, jobs::RunOutcome::kStopped, ClockMs(worker));
+      EndRuns(worker);
     }
     uint64_t& highest = worker.highest_ended[stop->task];
     highest = std::max(highest, stop->run);
@@ -261,7 +278,7 @@
     return jobs::OrderResult::kTooLate;
   }
   CheckStart(worker, order);
-  worker.runs.push_back({order.task, order.run, Now()});
+  worker.runs.push_back({order.task, order.run, Now(), std::nullopt});
   return jobs::OrderResult::kAccepted;
 }
 
--- a/libs/jobcontrol/test/simulated_workers.h
+++ b/libs/jobcontrol/test/simulated_workers.h
@@ -6,6 +6,7 @@
 #define JOBCONTROL_TEST_SIMULATED_WORKERS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,10 @@
 
 class SimulatedWorkers {
  public:
-  explicit SimulatedWorkers(FakeLeaderContext& context) : context_(context) {}
+  // A worker takes `stop_time` to end a run that is stopped or whose lease has
+  // expired.
+  SimulatedWorkers(FakeLeaderContext& context, milliseconds stop_time)
+      : context_(context), stop_time_(stop_time) {}
 
   void Add(const jobs::WorkerInfo& info, double clock_rate);
   void SetLink(size_t worker, Link link, milliseconds time);
@@ -52,6 +56,10 @@
     jobs::TaskKey task;
     uint64_t run = 0;
     milliseconds started{};
+    // The worker's clock when the run will have been ended by an order or with
+    // its lease, and how; meanwhile it runs on.
+    std::optional<int64_t> ends_at_ms;
+    jobs::RunOutcome ends_as = jobs::RunOutcome::kStopped;
   };
   struct Worker {
     jobs::WorkerInfo info;
@@ -89,6 +97,7 @@
   int64_t ClockMs(const Worker& worker) const;
   bool ExtendLease(Worker& worker, int64_t until_ms, uint64_t fencing_token);
   void EndRuns(Worker& worker);
+  void BeginToEnd(Running& run, jobs::RunOutcome outcome, int64_t clock_ms);
   void Restart(Worker& worker);
   void SendHeartbeat(Worker& worker);
   void TakeOrder(FakeLeaderContext::SentOrder order);
@@ -107,6 +116,7 @@
   Worker& WorkerAt(const std::string& address);
 
   FakeLeaderContext& context_;
+  const milliseconds stop_time_;
   std::vector<Worker> workers_;
   std::vector<Unanswered> unanswered_;
   std::vector<LateStart> late_starts_;
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -24,7 +24,8 @@
 // worker reports its clock in heartbeats and replies. The leader extrapolates
 // between readings at the rate `kSlowestClock`, so its estimate never runs
 // ahead of the worker's clock and a bound never expires later at the worker
-// than here.
+// than here. A worker needs time to end its runs when the lease has expired, so
+// they are over some time later.
 class WorkerLease {
  public:
   // A worker's clock runs at most 2% slower than this process's clock.
@@ -32,8 +33,10 @@
 
   // `responsible_since` is the time at which this process became responsible
   // for the worker. Before that, another leader may have sent bounds of up to
-  // `inherited_limit`.
-  WorkerLease(base::Instant responsible_since, base::Duration inherited_limit);
+  // `inherited_limit`. The worker takes up to `stop_time` to end runs.
+  WorkerLease(base::Instant responsible_since,
+              base::Duration inherited_limit,
+              base::Duration stop_time);
 
   // The worker reported its clock in a reply or heartbeat received at `now`.
   void OnClock(base::Instant now, int64_t clock_ms);
@@ -47,8 +50,9 @@
                                 base::Instant leads_at,
                                 base::Duration length);
 
-  // Whether every bound that was ever sent has passed.
-  bool IsExpired(base::Instant now) const;
+  // Whether every bound that was ever sent has passed, and then the time that
+  // the worker takes to end its runs.
+  bool HasEndedRuns(base::Instant now) const;
 
   LeaseReading Read(base::Instant now) const;
 
@@ -57,6 +61,7 @@
 
   base::Instant responsible_since_;
   base::Duration inherited_limit_;
+  base::Duration stop_time_;
   std::optional<int64_t> clock_ms_;  // worker's clock at `clock_read_at_`
   base::Instant clock_read_at_;
   // Latest bound of all calls; 0 if none was sent.
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -120,6 +120,8 @@
   base::Duration lease = std::chrono::milliseconds(4000);
   // The longest lease that an earlier leader may have given.
   base::Duration inherited_lease = std::chrono::milliseconds(6000);
+  // How long a worker may take to end its runs when their lease has expired.
+  base::Duration stop_time{};
 };
 
 // Not thread-safe. Lives for one term of leadership and one boot of a worker.
--- a/libs/jobs/src/lease.cc
+++ b/libs/jobs/src/lease.cc
@@ -8,9 +8,11 @@
 namespace sassafras::jobs {
 
 WorkerLease::WorkerLease(base::Instant responsible_since,
-                         base::Duration inherited_limit)
+                         base::Duration inherited_limit,
+                         base::Duration stop_time)
     : responsible_since_(responsible_since),
-      inherited_limit_(inherited_limit) {}
+      inherited_limit_(inherited_limit),
+      stop_time_(stop_time) {}
 
 void WorkerLease::OnClock(base::Instant now, int64_t clock_ms) {
   // A reply that arrives out of order carries an older reading.
@@ -40,16 +42,18 @@
   return latest_bound_ms_;
 }
 
-bool WorkerLease::IsExpired(base::Instant now) const {
-  const base::Duration inherited_time =
-      std::chrono::duration_cast<base::Duration>(
-          std::chrono::duration<double, std::micro>(
-              static_cast<double>(inherited_limit_.count()) / kSlowestClock));
+bool WorkerLease::HasEndedRuns(base::Instant now) const {
+  const auto inherited_us =
+      static_cast<double>((inherited_limit_ + stop_time_).count());
+  const auto inherited_time = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::micro>(inherited_us / kSlowestClock));
   if (now - responsible_since_ <= inherited_time) {
     return false;
   }
+  const auto stop_time =
+      std::chrono::ceil<std::chrono::milliseconds>(stop_time_);
   return latest_bound_ms_ == 0 ||
-         (clock_ms_ && ClockAt(now) > latest_bound_ms_);
+         (clock_ms_ && ClockAt(now) > latest_bound_ms_ + stop_time.count());
 }
 
 LeaseReading WorkerLease::Read(base::Instant now) const {
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -49,7 +49,7 @@
     : number_(number),
       info_(record.info),
       options_(options),
-      lease_(now, options.inherited_lease),
+      lease_(now, options.inherited_lease, options.stop_time),
       leads_at_(now),
       last_reply_(now),
       last_heard_(now),
@@ -376,7 +376,7 @@
 }
 
 bool WorkerSession::IsLost(base::Instant now) const {
-  return (IsSilent(now) || is_leaving_) && lease_.IsExpired(now);
+  return (IsSilent(now) || is_leaving_) && lease_.HasEndedRuns(now);
 }
 
 base::Instant WorkerSession::LastSignOfLife() const {
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -76,6 +76,8 @@
   Endpoint control;  // heartbeats of workers, the operator's manifest
   Endpoint adviser;  // the outside placement service
   base::Duration max_lease = std::chrono::milliseconds(5000);
+  // How long workers may take to end a run.
+  base::Duration max_stop = std::chrono::milliseconds(1000);
   base::Duration manifest_limit = std::chrono::milliseconds(2000);
 };
 
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -124,6 +124,8 @@
     {"adviser", &JobSettings::adviser, kOptional, TextRule::kEndpoint},
     {"max_lease_ms", &JobSettings::max_lease, kOptional, TextRule::kPath, 500,
      kMaxTimeMs},
+    {"max_stop_ms", &JobSettings::max_stop, kOptional, TextRule::kPath, 0,
+     kMaxTimeMs},
     {"manifest_limit_ms", &JobSettings::manifest_limit, kOptional,
      TextRule::kPath, 100, kMaxTimeMs},
 };
