--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -213,6 +213,9 @@
     // A start got no reply that is surely the worker's, so the worker may have
     // carried it out, or may still do so.
     bool may_start_late = false;
+    // The worker has accepted the start or listed the run. A run that it lists
+    // no more, and not as ended either, may still be being stopped.
+    bool has_run = false;
     bool is_in_flight = false;
     base::Instant next_order_at;
     std::optional<base::Instant> sent_at;  // when the start was first sent
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -195,6 +195,7 @@
       state.phase == Phase::kQueued || state.phase == Phase::kStarting;
   switch (result) {
     case OrderResult::kAccepted:
+      state.has_run = true;
       if (is_wanted) {
         state.phase = Phase::kStarted;
       }
@@ -330,16 +331,20 @@
                                                   RunState& state,
                                                   bool is_running) const {
   if (is_running) {
-    if (state.phase == Phase::kInherited || state.phase == Phase::kStarting) {
+    state.has_run = true;
+    if (state.phase == Phase::kInherited || state.phase == Phase::kQueued ||
+        state.phase == Phase::kStarting) {
       state.phase = Phase::kStarted;
     }
     return std::nullopt;
   }
   // The hold carried this leader's fencing token, so the worker no longer
   // starts runs ordered by earlier leaders.
-  const bool is_gone =
-      state.phase == Phase::kInherited ||
-      (state.phase == Phase::kStopped && hold_sent_ >= state.stopped_at);
+  const base::Duration stop_time =
+      state.has_run ? options_.stop_time : base::Duration{};
+  const bool is_gone = state.phase == Phase::kInherited ||
+                       (state.phase == Phase::kStopped &&
+                        hold_sent_ >= state.stopped_at + stop_time);
   if (!is_gone) {
     return std::nullopt;
   }
--- a/libs/jobs/test/worker_session_test.cc
+++ b/libs/jobs/test/worker_session_test.cc
@@ -292,6 +292,38 @@
   EXPECT_EQ(Poll(800).ends.size(), 1U);
 }
 
+// A run that was being stopped and wasn't listed meanwhile counted as one that
+// had never begun, and its task was started again beside it.
+TEST_F(WorkerSessionTest, ARunThatIsBeingStoppedMayBeMissingFromTheLists) {
+  constexpr milliseconds kStopTime(900);
+  WorkerRecord record;
+  record.info = Worker("w");
+  SessionOptions options;
+  options.stop_time = kStopTime;
+  session_.emplace(record, options, At(0));
+  session_->OnHeartbeat(record.info, 1000, At(0));
+  Poll(0);
+  StartTask();
+  Reply(session_->TakeOrders(At(10))[0], OrderResult::kAccepted, 11);
+  EXPECT_FALSE(session_->Stop(Task("j"), 1));
+  Reply(session_->TakeOrders(At(20))[0], OrderResult::kAccepted, 21);
+  EXPECT_TRUE(Poll(30).ends.empty());
+  EXPECT_TRUE(Poll(900).ends.empty());
+  EXPECT_EQ(Poll(930).ends.size(), 1U);
+}
+
+// A start whose answer may not have been the worker's counted as unsent when it
+// was withdrawn.
+TEST_F(WorkerSessionTest, AStartWithAnAnswerOnTheWayIsNotUnsent) {
+  Poll(0);
+  StartTask();
+  ReplyOnTheWay(session_->TakeOrders(At(10))[0], OrderResult::kOtherBoot, 11);
+  EXPECT_FALSE(session_->Stop(Task("j"), 1));
+  const auto calls = session_->TakeOrders(At(12));
+  ASSERT_EQ(calls.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<StopOrder>(calls[0].order));
+}
+
 TEST_F(WorkerSessionTest, AnInheritedRunThatIsListedContinues) {
   Open({{Task("j"), 3, {}}});
   EXPECT_TRUE(Poll(0, Running(3)).ends.empty());
