--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "cluster/replica_driver.h"
+#include "confirmed_leadership.h"
 #include "group_keeper.h"
 #include "heard_workers.h"
 #include "jobcontrol/advice_host.h"
@@ -338,7 +339,8 @@
   }
 
   std::optional<base::Instant> LeadershipConfirmedAt() const override {
-    return replica().LeadershipConfirmedAt();
+    return confirmed_leadership_.At(replica().LeadershipConfirmedAt(), Now(),
+                                    kernel::SuspendedTime());
   }
   base::Instant Now() const override { return kernel::MonotonicNow(); }
   base::WallMs WallNow() const override { return kernel::WallNow(); }
@@ -650,6 +652,8 @@
   std::shared_ptr<const jobs::Batch> proposed_;
   std::string proposed_bytes_;
   bool is_leading_ = false;
+  // Mutable, as each question for the confirmation looks for a suspension.
+  mutable ConfirmedLeadership confirmed_leadership_{kernel::SuspendedTime()};
   std::shared_ptr<Leader> leader_;  // null unless this replica leads
   bool is_stopping_ = false;        // this process was told to stop
   // Times of the last hello, by sender.
--- a/libs/kernel/include/kernel/kernel.h
+++ b/libs/kernel/include/kernel/kernel.h
@@ -92,6 +92,10 @@
 // The machine's monotonic clock as the cores take it.
 base::Instant MonotonicNow();
 
+// How long the machine has been suspended since it started. Its monotonic clock
+// doesn't count that time.
+base::Duration SuspendedTime();
+
 // An instant of that clock as timers take it.
 std::chrono::steady_clock::time_point ToSteady(base::Instant instant);
 
--- a/libs/kernel/src/kernel.cc
+++ b/libs/kernel/src/kernel.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
+#include <ctime>
 #include <mutex>
 #include <ranges>
 #include <thread>
@@ -160,6 +161,16 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+base::Duration SuspendedTime() {
+  timespec since_start{};
+  clock_gettime(CLOCK_BOOTTIME,
+                &since_start);  // Fails for unknown clocks only.
+  const auto counted = std::chrono::seconds(since_start.tv_sec) +
+                       std::chrono::nanoseconds(since_start.tv_nsec);
+  return std::chrono::duration_cast<base::Duration>(counted) -
+         MonotonicNow().time_since_epoch();
+}
+
 std::chrono::steady_clock::time_point ToSteady(base::Instant instant) {
   return std::chrono::steady_clock::time_point(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(
