--- a/libs/jobcontrol/test/removed_worker_test.cc
+++ b/libs/jobcontrol/test/removed_worker_test.cc
@@ -64,7 +64,7 @@
 TEST_F(RemovedWorkerTest, AReplyToACallOfAnEarlierSessionEndsNoRun) {
   ASSERT_NO_FATAL_FAILURE(OrderTask());
   auto first_start = std::exchange(context_.orders, {});
-  auto first_holds = std::exchange(context_.holds, {});
+  context_.holds.clear();
   while (context_.waiting() == 0 && !HasTimedOut()) {
     context_.Advance(milliseconds(100));
   }
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -11,12 +11,12 @@
 
 namespace sassafras::jobs {
 
-// What the end of a lease is judged by, for the log. Times in milliseconds are
-// on the worker's clock.
+// What the end of a lease is judged by, for the log.
 struct LeaseReading {
-  int64_t bound_ms = 0;  // the latest that was sent; 0 if none
-  std::optional<int64_t>
-      clock_ms;                // the last reading; nullopt before the first
+  // The latest bound that was sent, on the worker's clock; 0 if none was.
+  int64_t bound_ms = 0;
+  // The last reading of the worker's clock; nullopt before the first.
+  std::optional<int64_t> clock_ms;
   base::Duration clock_age{};  // since that reading
 };
 
