--- a/libs/jobcontrol/test/simulated_workers.cc
+++ b/libs/jobcontrol/test/simulated_workers.cc
@@ -17,9 +17,10 @@
 // Each task needs a thousandth of that much of a worker.
 constexpr int64_t kTaskCpuMilli = 1000;
 
-// Tasks work for 500 to 2900 ms, depending on their job.
+// Tasks work for 500 to 5900 ms, depending on their job, so that some outlast a
+// lease.
 milliseconds WorkTime(const jobs::TaskKey& task) {
-  return milliseconds(500 + 800 * (task.step.job.str().size() % 4));
+  return milliseconds(500 + 1800 * (task.step.job.str().size() % 4));
 }
 
 }  // namespace
