--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -30,9 +30,10 @@
 // A list of run ends that reaches this length may be truncated.
 constexpr size_t kMaxListedEnds = 500;
 
-// A worker's answer tells its clock. Without it, a host on the way may have
-// answered: that the order was carried out is then not known. That it wasn't is
-// no more known, but says where not to repeat it.
+// A worker's answer tells its clock; without it, a host on the way may have
+// answered. Then an acceptance counts as no answer, and the order is repeated.
+// A rejection stays one, so that the order goes elsewhere, once a stop has
+// shown that it isn't carried out here.
 OrderResult WordOfTheWorker(const OrderReply& reply) {
   const bool is_carried_out = reply.result == OrderResult::kAccepted ||
                               reply.result == OrderResult::kOutdated;
--- a/tests/soak/doubled_runs.py
+++ b/tests/soak/doubled_runs.py
@@ -3,12 +3,21 @@
 workers that are cut off, restarted or lose answers.
 
     tests/soak/doubled_runs.py PROGRAM --shape kzb-sched --trouble cut:from
-        [--seed N] [--seconds S] [--kill-ms K] [--keep]
-
-PROGRAM is a built sassafras-jobd. Prints one line for each doubled run and a
-summary, and exits 1 if there was any. The stand-ins are those of
-review/standins; this file adds what a process on a network of its own does:
-several processes of stand-ins, clocks that differ, and a kill that takes time.
+        [--seed N] [--seconds S] [--kill-ms K] [--folder F]
+
+PROGRAM is a built sassafras-jobd. Troubles, separated by commas:
+    cut:both|to|from|refuse  some workers are cut off (see Worker)
+    reborn:MODE              the same, and their next life begins behind the cut
+    reboot[:quiet]           some crash and start again under the same id;
+                             quiet: their first heartbeat is late
+    lose:close|STATUS        starts are carried out and not answered, or so
+    stop:leader|any          a control host is stopped and goes on
+    kill:leader|any          a control host is killed and starts again
+
+Prints one line for each pair of runs and a summary, and exits 1 if there was
+any. The stand-ins are those of review/standins; this file adds what a process on
+a network of its own does: several processes of stand-ins, clocks that differ,
+and a kill that takes time. The seed doesn't fix the timing of processes.
 """
 
 import argparse
