--- a/libs/jobcontrol/test/next_life_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -1,4 +1,4 @@
-// Tests what becomes of a start that may reach the next life of its worker.
+// Tests what becomes of a start that may reach the next boot of its worker.
 
 #include <gtest/gtest.h>
 
@@ -7,18 +7,18 @@
 namespace sassafras::jobcontrol {
 namespace {
 
-// The next life of a worker under the same id carried out a start that was
-// meant for the life before, beside the run that was started elsewhere.
-TEST_F(LeaderTest, AStartIsStoppedInTheNextLifeBeforeItsTaskRestarts) {
+// The next boot of a worker under the same id carried out a start that was
+// meant for the boot before, beside the run that was started elsewhere.
+TEST_F(LeaderTest, AStartIsStoppedInTheNextBootBeforeItsTaskRestarts) {
   ASSERT_NO_FATAL_FAILURE(OrderTask());
   const jobs::StartOrder first = FirstStart();
   context_.orders.at(0).done({});
   context_.orders.clear();
   AddWorker("v");
-  jobs::WorkerInfo next_life = Worker("w");
-  ++next_life.boot.started_ms;
+  jobs::WorkerInfo next_boot = Worker("w");
+  ++next_boot.boot.started_ms;
   for (int n = 0; n < 10; ++n) {
-    context_.leader->OnHeartbeat(next_life, context_.ClockMs(),
+    context_.leader->OnHeartbeat(next_boot, context_.ClockMs(),
                                  [](RecordResult) {});
     context_.Commit();
     context_.AnswerHolds({});
--- a/tests/soak/doubled_runs.py
+++ b/tests/soak/doubled_runs.py
@@ -7,7 +7,7 @@
 
 PROGRAM is a built sassafras-jobd. Troubles, separated by commas:
     cut:both|to|from|refuse  some workers are cut off (see Worker)
-    reborn:MODE              the same, and their next life begins behind the cut
+    reborn:MODE              the same, and they start again behind the cut
     reboot[:quiet]           some crash and start again under the same id;
                              quiet: their first heartbeat is late
     lose:close|STATUS        starts are carried out and not answered, or so
@@ -161,7 +161,7 @@
         if kind in ("cut", "reborn"):
             for it in chosen:
                 it.begin_cut(mode)
-                if kind == "reborn":  # its next life begins behind the cut
+                if kind == "reborn":  # it starts again behind the cut
                     it.crash()
                     await it.start()
             await asyncio.sleep(rng.uniform(*options.cut_s))
