--- a/review/8/case.py
+++ b/review/8/case.py
@@ -74,4 +74,4 @@
     return not is_broken
 
 
-dep.run_case(HERE, body)
+dep.run_case(os.path.join(HERE, "record.txt"), body)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -548,10 +548,10 @@
     return {"TaskSpec": json.dumps({"work_s": work_s}), "Steps": [fields | step]}
 
 
-def run_case(folder, body):
+def run_case(record_path, body):
     """Runs `body(site, trouble)`, which returns whether the rule held. Exits
     with 0 if so, 1 if it was broken and 2 if the case couldn't run."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", trouble=trouble)
 
