--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -152,6 +152,9 @@
   void OnAdvice(const jobs::AssignedQuery& assigned,
                 const std::optional<std::vector<jobs::Permit>>& permits,
                 base::Instant sent_at);
+  // Notes the jobs of which the worker has shown that it began a task.
+  void NoteBegunJobs(jobs::WorkerSession& session);
+  void AddBegunJobs(base::Instant now);
   void LogBatch(const jobs::Batch& batch,
                 RecordResult result,
                 base::Duration took);
@@ -213,6 +216,9 @@
   jobs::Batch batch_;                        // the next batch to record
   std::vector<RecordDone> batch_callbacks_;  // called once `batch_` is recorded
   bool is_recording_ = false;                // at most one batch is in flight
+  // Jobs that are not recorded as begun yet, and when the first was noted.
+  std::set<wire::JobId> begun_jobs_;
+  base::Instant begun_jobs_since_;
   bool needs_plan_ = true;   // the state changed since the last plan
   base::Instant next_plan_;  // of all steps: not earlier than this
   // Steps that have become ready, or for which an answer has come, since the
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -18,6 +18,9 @@
 // After a plan, this multiple of the time that it took belongs to other work,
 // so that a leader with a long backlog still hears its workers.
 constexpr int kPlanPause = 4;
+// That jobs have begun is recorded together with other changes, or on its own
+// after this time.
+constexpr auto kMaxBegunDelay = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -189,6 +192,7 @@
   } else if (!urgent_steps_.empty() || has_freed_room_) {
     PlanUrgentSteps();
   }
+  AddBegunJobs(now);
   if (batch_.IsEmpty()) {
     return;
   }
@@ -208,6 +212,28 @@
       });
 }
 
+void Leader::NoteBegunJobs(jobs::WorkerSession& session) {
+  for (const jobs::TaskKey& task : session.TakeBegunTasks()) {
+    const jobs::JobRecord* job = context_.table().FindJob(task.step.job);
+    if (job == nullptr || job->has_started) {
+      continue;
+    }
+    if (begun_jobs_.empty()) {
+      begun_jobs_since_ = context_.Now();
+    }
+    begun_jobs_.insert(job->id);
+  }
+}
+
+void Leader::AddBegunJobs(base::Instant now) {
+  const bool is_due = now >= begun_jobs_since_ + kMaxBegunDelay;
+  if (begun_jobs_.empty() || (batch_.IsEmpty() && !is_due)) {
+    return;
+  }
+  std::ranges::copy(std::exchange(begun_jobs_, {}),
+                    std::back_inserter(batch_.begun_jobs));
+}
+
 void Leader::LogBatch(const jobs::Batch& batch,
                       RecordResult result,
                       base::Duration took) {
@@ -248,6 +274,7 @@
     std::ranges::copy(batch.removed_workers,
                       std::back_inserter(batch_.removed_workers));
     std::ranges::copy(batch.cursors, std::back_inserter(batch_.cursors));
+    std::ranges::copy(batch.begun_jobs, std::back_inserter(batch_.begun_jobs));
     std::ranges::copy(batch.proven_runs,
                       std::back_inserter(batch_.proven_runs));
   }
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -228,6 +228,7 @@
   if (auto end = session->OnOrderReply(call, reply, context_.Now())) {
     AddEnd(*std::move(end), EndProof::kRejected);
   }
+  NoteBegunJobs(*session);
   SendPendingCalls(*session);
   Flush();
 }
@@ -242,6 +243,7 @@
   const bool has_refused = session->RefusesConnections();
   jobs::HoldOutcome outcome = session->OnHoldReply(reply, context_.Now());
   needs_plan_ |= session->IsUsable(context_.Now()) != was_usable;
+  NoteBegunJobs(*session);
   if (!outcome.ends.empty()) {
     for (const jobs::EndRun& end : outcome.ends) {
       AddEnd(end, end.outcome == jobs::RunOutcome::kRejected
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -81,7 +81,9 @@
   JobSpec spec;
   uint64_t order = 0;  // position in the order of acceptance over all jobs
   JobPhase phase = JobPhase::kActive;
-  bool has_started = false;  // a run of any task was started
+  // A worker has shown that it began a run of any task. That a start was
+  // recorded isn't enough: it may not have reached the worker.
+  bool has_started = false;
   // Occurrences that have begun.
   std::map<uint64_t, std::vector<StepRecord>> occurrences;
   uint64_t finished_occurrences = 0;
@@ -216,6 +218,8 @@
   std::vector<AddJob> jobs;
   std::vector<BeginOccurrence> occurrences;
   std::vector<StartRun> starts;
+  // Workers have shown that they began a run of these jobs.
+  std::vector<wire::JobId> begun_jobs;
   std::vector<wire::JobId> forgotten;
 
   bool IsEmpty() const;
@@ -231,6 +235,7 @@
                                                 jobs,
                                                 occurrences,
                                                 starts,
+                                                begun_jobs,
                                                 forgotten)
 
 // Effects of a batch, as the leader needs them.
@@ -294,8 +299,8 @@
   // Changes whenever a worker process is added or removed. Pointers to worker
   // records stay valid as long as it doesn't.
   uint64_t worker_set_version() const { return worker_set_version_; }
-  // Returns the number of active jobs in the queue that have not started a
-  // task.
+  // Returns the number of active jobs in the queue of which no worker has shown
+  // that it began a task.
   uint64_t CountWaitingJobs(const QueueId& queue) const;
 
  private:
@@ -311,6 +316,7 @@
   void Add(const AddJob& add);
   void Begin(const BeginOccurrence& begin);
   bool Start(const StartRun& start);
+  void MarkBegun(const wire::JobId& id);
   void Forget(const wire::JobId& id);
 
   void EndAllRuns(WorkerRecord& worker);
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -173,6 +173,9 @@
   HoldOutcome OnHoldReply(const HoldReply& reply, base::Instant now);
   // Run ends up to `cursor` have been recorded.
   void OnRecorded(uint64_t cursor);
+  // Returns the tasks of which the worker has shown since the last call that it
+  // began a run, which may have ended since.
+  std::vector<TaskKey> TakeBegunTasks();
 
   // Whether the worker can get new work: it has replied recently to this
   // leader, is healthy and isn't draining.
@@ -235,9 +238,10 @@
                                      base::Instant now);
   EndRun CloseRun(const RunKey& key, RunOutcome outcome);
   void MarkStopped(RunState& state, base::Instant now);
+  void MarkBegun(const RunKey& key, RunState& state);
   std::optional<EndRun> ReconcileRun(const RunKey& key,
                                      RunState& state,
-                                     bool is_running) const;
+                                     bool is_running);
   bool IsSilent(base::Instant now) const;
   bool MayBeLost(base::Instant now) const;
   // Returns the lease bound to send now; 0 leaves the lease unchanged.
@@ -249,6 +253,7 @@
   WorkerLease lease_;
   std::optional<base::Instant> leads_at_;
   std::map<RunKey, RunState> runs_;
+  std::vector<TaskKey> begun_tasks_;  // since the last TakeBegunTasks()
   std::vector<PaceOrder> unsent_paces_;
   bool may_have_due_orders_ = false;  // false if no run needs an order
   std::map<uint64_t, InFlight> in_flight_;
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -85,7 +85,7 @@
   return manifests.empty() && ends.empty() && proven_runs.empty() &&
          workers.empty() && cursors.empty() && removed_workers.empty() &&
          cancels.empty() && jobs.empty() && occurrences.empty() &&
-         starts.empty() && forgotten.empty();
+         starts.empty() && begun_jobs.empty() && forgotten.empty();
 }
 
 void Changes::Append(Changes later) {
@@ -120,6 +120,7 @@
   std::ranges::for_each(batch.occurrences, [this](auto& it) { Begin(it); });
   std::ranges::copy_if(batch.starts, std::back_inserter(changes_.started),
                        [this](auto& it) { return Start(it); });
+  std::ranges::for_each(batch.begun_jobs, [this](auto& it) { MarkBegun(it); });
   std::ranges::for_each(batch.forgotten, [this](auto& it) { Forget(it); });
   return std::exchange(changes_, {});
 }
@@ -311,7 +312,6 @@
   task.is_open = true;
   task.is_end_presumed = false;
   ++step->open;
-  job->second.has_started = true;
   const StepSpec& step_spec = spec.steps[position];
   worker->second.runs.push_back({start.task, start.run, step_spec.Charge(),
                                  step_spec.is_filler, step_spec.ServesUsers(),
@@ -320,6 +320,13 @@
   return true;
 }
 
+void JobTable::MarkBegun(const wire::JobId& id) {
+  const auto it = jobs_.find(id);
+  if (it != jobs_.end()) {
+    it->second.has_started = true;
+  }
+}
+
 void JobTable::Forget(const wire::JobId& id) {
   const auto it = jobs_.find(id);
   if (it != jobs_.end() && it->second.phase != JobPhase::kActive) {
--- a/libs/jobs/src/job_table_ends.cc
+++ b/libs/jobs/src/job_table_ends.cc
@@ -15,7 +15,12 @@
 void JobTable::End(const EndRun& end) {
   const bool was_open = CloseRun(end);
   const auto job = jobs_.find(end.task.step.job);
-  if (job != jobs_.end() && (was_open || !end.is_presumed)) {
+  if (job == jobs_.end()) {
+    return;
+  }
+  const bool has_run = !end.is_presumed && end.outcome != RunOutcome::kRejected;
+  job->second.has_started |= has_run;
+  if (was_open || !end.is_presumed) {
     RecordEnd(job->second, end, was_open);
   }
 }
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -196,7 +196,7 @@
       state.phase == Phase::kQueued || state.phase == Phase::kStarting;
   switch (result) {
     case OrderResult::kAccepted:
-      state.has_run = true;
+      MarkBegun(key, state);
       if (is_wanted) {
         state.phase = Phase::kStarted;
       }
@@ -242,6 +242,16 @@
   state.stopped_at = now;
 }
 
+void WorkerSession::MarkBegun(const RunKey& key, RunState& state) {
+  if (!std::exchange(state.has_run, true)) {
+    begun_tasks_.push_back(key.first);
+  }
+}
+
+std::vector<TaskKey> WorkerSession::TakeBegunTasks() {
+  return std::exchange(begun_tasks_, {});
+}
+
 EndRun WorkerSession::CloseRun(const RunKey& key, RunOutcome outcome) {
   EndRun end{info_.boot, key.first, key.second, outcome, ""};
   runs_.erase(RunKey(key));
@@ -330,9 +340,9 @@
 // its end if the reply proves that it will never run.
 std::optional<EndRun> WorkerSession::ReconcileRun(const RunKey& key,
                                                   RunState& state,
-                                                  bool is_running) const {
+                                                  bool is_running) {
   if (is_running) {
-    state.has_run = true;
+    MarkBegun(key, state);
     if (state.phase == Phase::kInherited || state.phase == Phase::kQueued ||
         state.phase == Phase::kStarting) {
       state.phase = Phase::kStarted;
