--- a/tests/soak/doubled_runs.py
+++ b/tests/soak/doubled_runs.py
@@ -10,12 +10,17 @@
     reborn:MODE              the same, and they start again behind the cut
     reboot[:quiet]           some crash and start again under the same id;
                              quiet: their first heartbeat is late
+    recut[:X]                some crash, start again under the same id and are
+                             cut off soon after; a share X (0.5) of the calls
+                             around that gets no answer and is carried out
+                             later, by whichever life of the worker is up then
     lose:close|STATUS        starts are carried out and not answered, or so
     stop:leader|any          a control host is stopped and goes on
     kill:leader|any          a control host is killed and starts again
 
-Prints one line for each pair of runs and a summary, and exits 1 if there was
-any. The stand-ins are those of review/standins; this file adds what a process on
+Prints one line for each pair of runs that overlap, or of which the later began
+although the worker had been told to forget that the earlier was done, and a
+summary, and exits 1 if there was any. The stand-ins are those of review/standins; this file adds what a process on
 a network of its own does: several processes of stand-ins, clocks that differ,
 and a kill that takes time. The seed doesn't fix the timing of processes.
 """
@@ -56,6 +61,8 @@
     "lyp-tallinn": Shape(3, 8, 48, 10000, 200),
 }
 WORKERS_PER_PROCESS = 50
+CALLER_PATIENCE_S = 2.0
+LATENESS_S = (0.2, 6.0)  # of calls that are carried out late
 LEADER_NAME = "leader"
 
 
@@ -72,9 +79,15 @@
         self.healed = asyncio.Event()
         self.healed.set()
         self.lost_answers = ""
+        self.late_share = 0.0  # of the calls that come in
+        self.lapsed_at = 0.0  # when the lease was last seen expired
         self.first_beat_s = 0.0  # after its start
         self.rng = rng
 
+    async def start(self):
+        self.finished = {}  # (task, run) to Run, of this boot
+        await super().start()
+
     async def beat(self):
         await asyncio.sleep(self.rng.uniform(0, self.first_beat_s))
         await super().beat()
@@ -99,6 +112,10 @@
 
     async def handle(self, method, path, headers, body):
         mode, boot = self.cut_mode, self.boot
+        if self.rng.random() < self.late_share:
+            asyncio.create_task(self.carry_out_late(method, path, headers, body))
+            await asyncio.sleep(CALLER_PATIENCE_S)
+            raise OSError("the caller has given up")
         if mode in ("both", "to"):
             # The bytes wait in the network and arrive when it has healed.
             await self.healed.wait()
@@ -116,10 +133,34 @@
             return int(how), {}
         return answer
 
+    async def carry_out_late(self, method, path, headers, body):
+        await asyncio.sleep(self.rng.uniform(*LATENESS_S))
+        if not self.boot:
+            return
+        self.site.record.write("late", server=self.name, path=path, body=body)
+        try:
+            await super().handle(method, path, headers, body)
+        except OSError as error:  # The boot has ended meanwhile.
+            self.site.record.write("late-failed", server=self.name, why=error)
+
+    async def hold(self, order):
+        # An end counts as taken note of unless the lease has expired since.
+        for row in self.boot.ended:
+            run = self.finished[(row[1], row[2])]
+            if row[0] <= order.get("AckCursor", 0) and self.lapsed_at < run.end:
+                run.is_noted = True
+        return await super().hold(order)
+
+    def finish(self, run, how, listed=True):
+        self.finished[(run.task, run.number)] = run
+        super().finish(run, how, listed)
+
     async def watch(self):
         while True:
             await asyncio.sleep(0.005)
             now = time.monotonic()
+            if self.clock() >= self.boot.lease_until:
+                self.lapsed_at = now
             if self.clock() >= self.boot.lease_until and self.boot.running:
                 await asyncio.sleep(self.options.kill_ms / 1000)
                 for run in list(self.boot.running.values()):
@@ -148,6 +189,20 @@
     late: bool
 
 
+async def recut(worker, late_share, options, rng):
+    """The worker is back under its id and is cut off soon after."""
+    worker.late_share = late_share
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    worker.crash()
+    await asyncio.sleep(rng.uniform(0.1, 0.6))
+    await worker.start()
+    await asyncio.sleep(rng.uniform(0.3, 2.0))
+    worker.late_share = 0.0
+    worker.begin_cut("both")
+    await asyncio.sleep(rng.uniform(*options.cut_s))
+    await worker.end_cut()
+
+
 async def trouble_workers(workers, kind, mode, options, rng, end):
     """Begins the trouble on some workers again and again."""
     if kind == "lose":
@@ -167,6 +222,9 @@
             await asyncio.sleep(rng.uniform(*options.cut_s))
             for it in chosen:
                 await it.end_cut()
+        elif kind == "recut":
+            await asyncio.gather(*(recut(it, float(mode or 0.5), options, rng)
+                                   for it in chosen))
         elif kind == "reboot":
             for it in chosen:
                 it.crash()
@@ -197,14 +255,14 @@
         tasks = []
         for part in trouble.split(","):
             kind, _, mode = part.partition(":")
-            if kind in ("cut", "reborn", "reboot", "lose"):
+            if kind in ("cut", "reborn", "reboot", "recut", "lose"):
                 tasks.append(asyncio.create_task(trouble_workers(
                     workers, kind, mode, options, rng, end)))
         await asyncio.sleep(end + 6 - time.monotonic())
         with open(files[1], "w", encoding="utf-8") as file:
             for server, run in site.runs:
                 json.dump([run.task, run.number, server.name, run.begin,
-                           run.end, run.how], file)
+                           run.end, run.how, getattr(run, "is_noted", False)], file)
                 file.write("\n")
         os._exit(0)
 
@@ -267,7 +325,8 @@
 
 
 def find_doubled(runs):
-    """Returns pairs of runs of one task that overlap, the earlier one first."""
+    """Returns pairs of runs of one task that overlap, or of which the later began
+    after the earlier was done and noted; the earlier one first."""
     by_task = collections.defaultdict(list)
     for run in runs:
         by_task[run[0]].append(run)
@@ -276,7 +335,8 @@
         group.sort(key=lambda it: it[3])
         for n, later in enumerate(group):
             for earlier in group[:n]:
-                if earlier[4] is None or earlier[4] > later[3]:
+                is_done = earlier[5:] == ["done", True]
+                if earlier[4] is None or earlier[4] > later[3] or is_done:
                     pairs.append((earlier, later))
     return pairs
 
