Leader: a fencing token for each session, so that a boot does nothing for calls to the one before (TWICE)

Cause: calls name a worker by its id, so those for the boot before are carried out by the next one, and both had the same fencing token, the term. A late hold acknowledged ends that nobody had read, and gave runs a lease of up to HoldMaxMs, since its bound is a time on the former clock.

Change: the token is the term and, below it, the number of the session, which rises with each boot that the leader meets. Relays pass it on.

The new LeaderTest case fails with the term as the token. RelayTest expected the term where the caller had given another token; it now expects the token as given, and the term only for callers of an earlier version.

--- a/libs/jobcontrol/include/jobcontrol/worker_link.h
+++ b/libs/jobcontrol/include/jobcontrol/worker_link.h
@@ -26,8 +26,8 @@
  public:
   virtual ~WorkerLink() = default;
 
-  // Sends an order. `fencing_token` is the leader's term; workers reject calls
-  // with a lower token than the highest that they have seen.
+  // Sends an order. Workers reject calls with a lower fencing token than the
+  // highest that they have seen.
   virtual void Order(const jobs::WorkerInfo& worker,
                      const jobs::OrderCall& call,
                      uint64_t fencing_token,
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -19,6 +19,16 @@
 // Limits the calls between two turns of the event loop, so that a pass over
 // many workers doesn't delay consensus heartbeats.
 constexpr size_t kMaxCallsPerTurn = 16;
+// Of a fencing token, those that number the sessions of a term. The others hold
+// the term, which leaves room for 2^29 terms below 2^53, where JSON is exact.
+constexpr int kSessionBits = 24;
+
+// A worker that has answered a call of a session does nothing for calls of
+// earlier ones: neither for those of earlier leaders, nor for those that were
+// meant for an earlier boot under its id.
+uint64_t FencingTokenOf(uint64_t term, const jobs::WorkerSession& session) {
+  return (term << kSessionBits) + session.number();
+}
 
 }  // namespace
 
@@ -184,12 +194,13 @@
     return 0;
   }
   const SessionId session_id{boot, session.number()};
+  const uint64_t fencing_token = FencingTokenOf(options_.term, session);
   session.OnLeadership(context_.LeadershipConfirmedAt());
   const auto orders = session.TakeOrders(now);
   size_t calls = orders.size();
   for (const jobs::OrderCall& call : orders) {
     context_.workers().Order(
-        session.info(), call, options_.term,
+        session.info(), call, fencing_token,
         [weak = weak_from_this(), session_id, id = call.id](const auto& reply) {
           if (const auto self = weak.lock()) {
             self->OnOrderReply(session_id, id, reply);
@@ -199,7 +210,7 @@
   if (const auto call = session.TakeHold(now)) {
     ++calls;
     context_.workers().Hold(
-        session.info(), *call, options_.term,
+        session.info(), *call, fencing_token,
         [weak = weak_from_this(), session_id](const auto& reply) {
           if (const auto self = weak.lock()) {
             self->OnHoldReply(session_id, reply);
--- a/libs/jobcontrol/src/relay_host.cc
+++ b/libs/jobcontrol/src/relay_host.cc
@@ -69,7 +69,8 @@
 void RelayHost::CarryOut(const RelayRequest& request) {
   for (const RelayedOrder& order : request.orders) {
     workers_.Order(
-        ToWorkerInfo(order.target), ToOrderCall(order), term_,
+        ToWorkerInfo(order.target), ToOrderCall(order),
+        TokenOf(order.fencing_token),
         [self = shared_from_this(), id = order.id,
          term = term_](const jobs::OrderReply& reply) {
           if (term == self->term_) {
@@ -83,7 +84,7 @@
     call.end_cursor = hold.end_cursor;
     call.lease_until_ms = hold.lease_until_ms;
     call.wait = std::chrono::microseconds(hold.wait_us);
-    workers_.Hold(ToWorkerInfo(hold.target), call, term_,
+    workers_.Hold(ToWorkerInfo(hold.target), call, TokenOf(hold.fencing_token),
                   [self = shared_from_this(), id = hold.id,
                    term = term_](const jobs::HoldReply& reply) {
                     if (term == self->term_) {
@@ -94,6 +95,10 @@
   }
 }
 
+uint64_t RelayHost::TokenOf(uint64_t fencing_token) const {
+  return fencing_token == 0 ? term_ : fencing_token;
+}
+
 void RelayHost::OnReplyAdded() {
   if (open_request_ && !is_collecting_) {
     is_collecting_ = true;
--- a/libs/jobcontrol/src/relay_host.h
+++ b/libs/jobcontrol/src/relay_host.h
@@ -44,6 +44,7 @@
 
   void BeginTerm(uint64_t term);
   void CarryOut(const RelayRequest& request);
+  uint64_t TokenOf(uint64_t fencing_token) const;
   void OnReplyAdded();
   void WaitForReplies(base::Duration limit);
   void AnswerOpenRequest();
--- a/libs/jobcontrol/src/relay_messages.cc
+++ b/libs/jobcontrol/src/relay_messages.cc
@@ -21,8 +21,10 @@
 
 RelayedOrder ToRelayedOrder(RelayedCallId id,
                             const jobs::WorkerInfo& worker,
-                            const jobs::OrderCall& call) {
+                            const jobs::OrderCall& call,
+                            uint64_t fencing_token) {
   RelayedOrder relayed;
+  relayed.fencing_token = fencing_token;
   relayed.id = id;
   relayed.target = ToRelayedTarget(worker);
   relayed.lease_until_ms = call.lease_until_ms;
--- a/libs/jobcontrol/src/relay_messages.h
+++ b/libs/jobcontrol/src/relay_messages.h
@@ -43,6 +43,7 @@
   std::string payload;   // of a kStart, as the two below
   std::string checkpoint;
   std::string ticket;
+  uint64_t fencing_token = 0;  // 0, of an earlier version: the leader's term
 };
 WIRE_DEFINE_ARRAY(RelayedOrder,
                   id,
@@ -54,7 +55,8 @@
                   percent,
                   payload,
                   checkpoint,
-                  ticket)
+                  ticket,
+                  fencing_token)
 
 struct RelayedHold {
   RelayedCallId id = 0;
@@ -62,11 +64,18 @@
   uint64_t end_cursor = 0;
   int64_t lease_until_ms = 0;
   int64_t wait_us = 0;
+  uint64_t fencing_token = 0;  // as of an order
 };
-WIRE_DEFINE_ARRAY(RelayedHold, id, target, end_cursor, lease_until_ms, wait_us)
+WIRE_DEFINE_ARRAY(RelayedHold,
+                  id,
+                  target,
+                  end_cursor,
+                  lease_until_ms,
+                  wait_us,
+                  fencing_token)
 
 struct RelayRequest {
-  uint64_t term = 0;  // the leader's fencing token
+  uint64_t term = 0;  // of the leader
   std::vector<RelayedOrder> orders;
   std::vector<RelayedHold> holds;
   // The leader only asks whether the relay can be reached.
@@ -114,7 +123,8 @@
 jobs::WorkerInfo ToWorkerInfo(const RelayedTarget& target);
 RelayedOrder ToRelayedOrder(RelayedCallId id,
                             const jobs::WorkerInfo& worker,
-                            const jobs::OrderCall& call);
+                            const jobs::OrderCall& call,
+                            uint64_t fencing_token);
 jobs::OrderCall ToOrderCall(const RelayedOrder& order);
 RelayedOrderReply ToRelayedReply(RelayedCallId id,
                                  const jobs::OrderReply& reply);
--- a/libs/jobcontrol/src/relayed_link.cc
+++ b/libs/jobcontrol/src/relayed_link.cc
@@ -60,9 +60,11 @@
   void AddOrder(const wire::EntryId& host,
                 const jobs::WorkerInfo& worker,
                 const jobs::OrderCall& call,
+                uint64_t fencing_token,
                 OrderDone done) {
     Relay& relay = relays_[host];
-    relay.unsent.orders.push_back(ToRelayedOrder(++last_id_, worker, call));
+    relay.unsent.orders.push_back(
+        ToRelayedOrder(++last_id_, worker, call, fencing_token));
     relay.orders.emplace(last_id_, std::move(done));
     FlushSoon();
   }
@@ -70,13 +72,14 @@
   void AddHold(const wire::EntryId& host,
                const jobs::WorkerInfo& worker,
                const jobs::HoldCall& call,
+               uint64_t fencing_token,
                HoldDone done) {
     Relay& relay = relays_[host];
     const auto wait =
         std::chrono::duration_cast<std::chrono::microseconds>(call.wait);
     relay.unsent.holds.push_back({++last_id_, ToRelayedTarget(worker),
                                   call.end_cursor, call.lease_until_ms,
-                                  wait.count()});
+                                  wait.count(), fencing_token});
     relay.holds.emplace(last_id_, std::move(done));
     FlushSoon();
   }
@@ -256,7 +259,7 @@
                         uint64_t fencing_token,
                         OrderDone done) {
   if (const auto relay = impl_->RelayFor(worker.boot.id)) {
-    impl_->AddOrder(*relay, worker, call, std::move(done));
+    impl_->AddOrder(*relay, worker, call, fencing_token, std::move(done));
   } else {
     direct_.Order(worker, call, fencing_token, std::move(done));
   }
@@ -267,7 +270,7 @@
                        uint64_t fencing_token,
                        HoldDone done) {
   if (const auto relay = impl_->RelayFor(worker.boot.id)) {
-    impl_->AddHold(*relay, worker, call, std::move(done));
+    impl_->AddHold(*relay, worker, call, fencing_token, std::move(done));
   } else {
     direct_.Hold(worker, call, fencing_token, std::move(done));
   }
--- a/libs/jobcontrol/test/next_boot_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -38,5 +38,29 @@
   FAIL() << "the start was never stopped";
 }
 
+// Calls that were meant for the boot before acknowledged ends of the next one
+// that nobody had read, so that tasks ran again although they were done.
+TEST_F(LeaderTest, CallsForALaterBootHaveAHigherFencingToken) {
+  AddWorker("w");
+  uint64_t highest = context_.holds.at(0).fencing_token;
+  context_.AnswerHolds({});
+  jobs::WorkerInfo later_boot = Worker("w");
+  for (int n = 0; n < 3; ++n) {
+    context_.holds.clear();
+    ++later_boot.boot.started_ms;
+    context_.leader->OnHeartbeat(later_boot, context_.ClockMs(),
+                                 [](RecordResult) {});
+    context_.Commit();
+    ASSERT_EQ(context_.holds.size(), 1U);
+    EXPECT_EQ(context_.holds[0].worker.boot, later_boot.boot);
+    EXPECT_GT(context_.holds[0].fencing_token, highest);
+    highest = context_.holds[0].fencing_token;
+  }
+  Elect(2);
+  context_.Advance(milliseconds(50));
+  ASSERT_EQ(context_.holds.size(), 1U);
+  EXPECT_GT(context_.holds[0].fencing_token, highest);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/test/relay_test.cc
+++ b/libs/jobcontrol/test/relay_test.cc
@@ -102,6 +102,7 @@
   struct SentHold {
     jobs::WorkerInfo worker;
     jobs::HoldCall call;
+    uint64_t fencing_token = 0;
     HoldDone done;
   };
 
@@ -113,9 +114,9 @@
   }
   void Hold(const jobs::WorkerInfo& worker,
             const jobs::HoldCall& call,
-            uint64_t,
+            uint64_t fencing_token,
             HoldDone done) override {
-    holds.push_back({worker, call, std::move(done)});
+    holds.push_back({worker, call, fencing_token, std::move(done)});
   }
   void QueryAdvice(const jobs::AdviceQuery&,
                    base::Duration,
@@ -184,7 +185,7 @@
     start.payload = "text";
     start.checkpoint = "c";
     start.ticket = "t";
-    link_->Order(worker_, {1, start, 5000}, 1,
+    link_->Order(worker_, {1, start, 5000}, fencing_token_,
                  [this](const jobs::OrderReply& reply) {
                    order_replies_.push_back(reply);
                  });
@@ -195,15 +196,17 @@
     call.end_cursor = 5;
     call.lease_until_ms = 6000;
     call.wait = milliseconds(700);
-    link_->Hold(worker_, call, 1, [this](const jobs::HoldReply& reply) {
-      hold_replies_.push_back(reply);
-    });
+    link_->Hold(worker_, call, fencing_token_,
+                [this](const jobs::HoldReply& reply) {
+                  hold_replies_.push_back(reply);
+                });
   }
 
   boost::asio::io_context control_;
   FakeWorkers direct_;
   FakeWorkers remote_;
   uint64_t host_term_ = 1;
+  uint64_t fencing_token_ = 50'000'001;
   bool is_cut_ = false;
   std::shared_ptr<RelayHost> host_;
   std::unique_ptr<RelayedLink> link_;
@@ -226,7 +229,7 @@
   EXPECT_TRUE(direct_.orders.empty());
   AwaitTrue([this] { return !remote_.orders.empty(); });
   const FakeWorkers::SentOrder& sent = remote_.orders[0];
-  EXPECT_EQ(sent.fencing_token, 3U);
+  EXPECT_EQ(sent.fencing_token, fencing_token_);
   EXPECT_EQ(sent.worker.boot, worker_.boot);
   EXPECT_EQ(sent.worker.address, worker_.address);
   EXPECT_EQ(sent.worker.port, worker_.port);
@@ -243,10 +246,22 @@
   EXPECT_EQ(order_replies_[0].clock_ms, 77);
 }
 
+TEST_F(RelayTest, ACallOfAnEarlierVersionCarriesTheTerm) {
+  fencing_token_ = 0;
+  Lead(3);
+  SendStart();
+  SendHold();
+  AwaitTrue(
+      [this] { return !remote_.orders.empty() && !remote_.holds.empty(); });
+  EXPECT_EQ(remote_.orders[0].fencing_token, 3U);
+  EXPECT_EQ(remote_.holds[0].fencing_token, 3U);
+}
+
 TEST_F(RelayTest, AHoldReplyComesBackWhole) {
   Lead(1);
   SendHold();
   AwaitTrue([this] { return !remote_.holds.empty(); });
+  EXPECT_EQ(remote_.holds[0].fencing_token, fencing_token_);
   EXPECT_EQ(remote_.holds[0].call.end_cursor, 5U);
   EXPECT_EQ(remote_.holds[0].call.lease_until_ms, 6000);
   EXPECT_EQ(remote_.holds[0].call.wait, milliseconds(700));
