--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -105,6 +105,13 @@
          const LeaderOptions& options,
          const LeaderMetrics& metrics);
 
+  // A boot that was lost may return, and gets another session. A reply belongs
+  // to the session that made the call.
+  struct SessionId {
+    jobs::WorkerBoot boot;
+    uint64_t number = 0;  // unique within the term
+  };
+
   void Begin();
   void OpenSession(const jobs::WorkerRecord& record);
   void SyncSessions();
@@ -136,7 +143,23 @@
   };
   // Proposes that all runs of the worker have ended.
   void DeclareLost(const jobs::WorkerSession& session, LossProof proof);
-  void DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor);
+  void DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor,
+                                  int64_t clock_ms);
+
+  // The next boot of a worker is asked what it runs before the runs of the boot
+  // before count as over: calls that were meant for that one reach the next, as
+  // they name the worker's id only, and may start runs there.
+  void AwaitNextBoot(const jobs::WorkerInfo& worker, int64_t clock_ms);
+  void CallNextBoots();
+  void OnNextBootReply(jobs::WorkerSession& next,
+                       std::span<const jobs::EndRun> ends);
+  // Proposes the next boot in place of the boot before.
+  void AdmitNextBoot(const jobs::WorkerSession& next);
+  void GiveUpSilentNextBoots();
+  // Whether a later boot than that of the session is being asked what it runs.
+  bool IsReplaced(const jobs::WorkerSession& session) const;
+  jobs::WorkerSession* FindNextBoot(const SessionId& id);
+
   std::vector<jobs::CrashRole> CrashRolesOf(const jobs::WorkerRecord& record,
                                             const jobs::WorkerSession& session,
                                             bool has_crashed) const;
@@ -176,12 +199,6 @@
   size_t SendPendingCalls(jobs::WorkerSession& session);
   void StartCallRound();
   void ContinueCallRound();
-  // A boot that was lost may return, and gets another session. A reply belongs
-  // to the session that made the call.
-  struct SessionId {
-    jobs::WorkerBoot boot;
-    uint64_t number = 0;  // unique within the term
-  };
   void OnOrderReply(const SessionId& id,
                     uint64_t call,
                     const jobs::OrderReply& reply);
@@ -208,6 +225,9 @@
   jobs::AdviceTracker advice_;
   jobs::ProgressMonitor progress_;
   std::map<wire::WorkerId, jobs::WorkerSession> sessions_;
+  // Boots that aren't recorded yet, as an earlier boot with the same id has
+  // open runs in the table.
+  std::map<wire::WorkerId, jobs::WorkerSession> next_boots_;
   uint64_t last_session_ = 0;  // number of the session opened last
   // The last pace sent to open filler runs, in percent of full speed; runs
   // without an entry are at full pace.
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -579,6 +579,7 @@
     options.term = replica().GetTerm().value();
     options.session.lease = std::min(kWorkerLease, settings_.jobs.max_lease);
     options.session.inherited_lease = options.session.lease;
+    options.session.max_lease = settings_.jobs.max_lease;
     options.session.stop_time = settings_.jobs.max_stop;
     leader_ = Leader::Create(*this, options, leader_metrics_);
   }
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -132,7 +132,12 @@
   if (jobs::WorkerSession* session = FindSession(worker.boot)) {
     session->OnHeartbeat(worker, clock_ms, context_.Now());
   } else {
-    DeclareReplacedWorkersLost(worker);
+    DeclareReplacedWorkersLost(worker, clock_ms);
+  }
+  if (next_boots_.contains(worker.boot.id)) {
+    done(RecordResult::kRecorded);
+    Flush();
+    return;
   }
   if (record != nullptr && record->info == worker) {
     done(RecordResult::kRecorded);
@@ -333,6 +338,9 @@
     return record == workers.end() ||
            record->second.info.boot != entry.second.boot();
   });
+  std::erase_if(next_boots_, [&](const auto& entry) {
+    return !sessions_.contains(entry.first);
+  });
   for (const auto& [id, record] : workers) {
     if (!sessions_.contains(id)) {
       OpenSession(record);
@@ -362,6 +370,7 @@
   ProveSuspects();
   AddDueOccurrences();
   StartCallRound();
+  CallNextBoots();
   needs_plan_ = true;
   Flush();
 }
--- a/libs/jobcontrol/src/leader_losses.cc
+++ b/libs/jobcontrol/src/leader_losses.cc
@@ -42,21 +42,33 @@
 void Leader::RemoveLostWorkers() {
   const base::Instant now = context_.Now();
   for (auto& session : sessions_ | std::views::values) {
-    if (session.IsLost(now)) {
+    if (session.IsLost(now) && !IsReplaced(session)) {
       DeclareLost(session, LossProof::kLeaseExpired);
     }
   }
+  GiveUpSilentNextBoots();
 }
 
 // A worker that comes back under its id, or another one at its address, shows
-// that its process has ended.
-void Leader::DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor) {
+// that its process has ended. The other one rejects calls for its id.
+void Leader::DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor,
+                                        int64_t clock_ms) {
   for (auto& session : sessions_ | std::views::values) {
     const jobs::WorkerInfo& info = session.info();
-    const bool is_same =
-        info.boot.id == successor.boot.id ||
-        (info.address == successor.address && info.port == successor.port);
-    if (is_same && info.boot.started_ms < successor.boot.started_ms) {
+    const bool is_same_id = info.boot.id == successor.boot.id;
+    const bool is_same_address =
+        info.address == successor.address && info.port == successor.port;
+    if ((!is_same_id && !is_same_address) ||
+        info.boot.started_ms >= successor.boot.started_ms) {
+      continue;
+    }
+    const jobs::WorkerRecord* record =
+        context_.table().FindWorker(info.boot.id);
+    const bool has_open_runs = record != nullptr && !record->runs.empty();
+    if (is_same_id && has_open_runs &&
+        !workers_being_removed_.contains(info.boot)) {
+      AwaitNextBoot(successor, clock_ms);
+    } else {
       DeclareLost(session, LossProof::kLaterBoot);
     }
   }
--- /dev/null
+++ b/libs/jobcontrol/src/leader_next_boots.cc
@@ -0,0 +1,107 @@
+// The leader's part in the return of workers: finds out what the next boot of a
+// worker runs before it takes the runs of the boot before for over.
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "jobcontrol/leader.h"
+#include "telemetry/decision.h"
+
+namespace sassafras::jobcontrol {
+namespace {
+
+using telemetry::Decision;
+
+}  // namespace
+
+void Leader::AwaitNextBoot(const jobs::WorkerInfo& worker, int64_t clock_ms) {
+  const base::Instant now = context_.Now();
+  auto it = next_boots_.find(worker.boot.id);
+  if (it == next_boots_.end() ||
+      it->second.boot().started_ms < worker.boot.started_ms) {
+    Decision("next-boot")
+        .With("worker", worker.boot.id)
+        .With("boot", worker.boot.started_ms)
+        .Write();
+    jobs::WorkerRecord record;
+    record.info = worker;
+    jobs::SessionOptions options = options_.session;
+    options.inherited_lease = options.max_lease;
+    jobs::WorkerSession session(record, options, now, ++last_session_);
+    session.WithholdLease();
+    it = next_boots_.insert_or_assign(worker.boot.id, std::move(session)).first;
+  }
+  jobs::WorkerSession& next = it->second;
+  if (next.boot() != worker.boot) {
+    return;  // The heartbeat is late.
+  }
+  jobs::WorkerInfo info = worker;
+  info.is_draining |= next.info().is_draining;
+  next.OnHeartbeat(info, clock_ms, now);
+  SendPendingCalls(next);
+}
+
+void Leader::CallNextBoots() {
+  for (auto& next : next_boots_ | std::views::values) {
+    SendPendingCalls(next);
+  }
+}
+
+// What the next boot reports of a run that was ordered for the boot before
+// belongs to that run.
+void Leader::OnNextBootReply(jobs::WorkerSession& next,
+                             std::span<const jobs::EndRun> ends) {
+  for (jobs::EndRun end : ends) {
+    end.worker = sessions_.at(next.boot().id).boot();
+    AddEnd(end, end.outcome == jobs::RunOutcome::kRejected
+                    ? EndProof::kUnlisted
+                    : EndProof::kReported);
+  }
+  if (next.RunsNothing()) {
+    AdmitNextBoot(next);
+  } else {
+    SendPendingCalls(next);
+  }
+  Flush();
+}
+
+void Leader::AdmitNextBoot(const jobs::WorkerSession& next) {
+  const jobs::WorkerInfo info = next.info();
+  next_boots_.erase(info.boot.id);
+  DeclareLost(sessions_.at(info.boot.id), LossProof::kLaterBoot);
+  Decision("worker")
+      .With("worker", info.boot.id)
+      .With("boot", info.boot.started_ms)
+      .With("draining", info.is_draining)
+      .Write();
+  batch_.workers.push_back(info);
+}
+
+// A next boot that has fallen silent may have been given the longest lease by a
+// call that was meant for the boot before.
+void Leader::GiveUpSilentNextBoots() {
+  const base::Instant now = context_.Now();
+  std::erase_if(next_boots_, [&](const auto& entry) {
+    if (!entry.second.IsLost(now)) {
+      return false;
+    }
+    DeclareLost(sessions_.at(entry.first), LossProof::kLaterBoot);
+    return true;
+  });
+}
+
+bool Leader::IsReplaced(const jobs::WorkerSession& session) const {
+  const auto it = next_boots_.find(session.boot().id);
+  return it != next_boots_.end() && it->second.boot() != session.boot();
+}
+
+jobs::WorkerSession* Leader::FindNextBoot(const SessionId& id) {
+  const auto it = next_boots_.find(id.boot.id);
+  const bool is_found = it != next_boots_.end() &&
+                        it->second.boot() == id.boot &&
+                        it->second.number() == id.number;
+  return is_found ? &it->second : nullptr;
+}
+
+}  // namespace sassafras::jobcontrol
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -190,7 +190,7 @@
   const jobs::WorkerBoot boot = session.boot();
   // The runs of a worker that was declared lost are about to be recorded as
   // ended. Until then, none of them may be started or kept alive.
-  if (workers_being_removed_.contains(boot)) {
+  if (workers_being_removed_.contains(boot) || IsReplaced(session)) {
     return 0;
   }
   const SessionId session_id{boot, session.number()};
@@ -223,7 +223,8 @@
 void Leader::OnOrderReply(const SessionId& id,
                           uint64_t call,
                           const jobs::OrderReply& reply) {
-  jobs::WorkerSession* session = FindSession(id);
+  jobs::WorkerSession* next = FindNextBoot(id);
+  jobs::WorkerSession* session = next != nullptr ? next : FindSession(id);
   if (session == nullptr) {
     return;
   }
@@ -236,7 +237,12 @@
         .With("result", static_cast<int>(reply.result))
         .Write();
   }
-  if (auto end = session->OnOrderReply(call, reply, context_.Now())) {
+  auto end = session->OnOrderReply(call, reply, context_.Now());
+  if (next != nullptr) {
+    OnNextBootReply(*next, {});
+    return;
+  }
+  if (end) {
     AddEnd(*std::move(end), EndProof::kRejected);
   }
   NoteBegunJobs(*session);
@@ -245,6 +251,10 @@
 }
 
 void Leader::OnHoldReply(const SessionId& id, const jobs::HoldReply& reply) {
+  if (jobs::WorkerSession* next = FindNextBoot(id)) {
+    OnNextBootReply(*next, next->OnHoldReply(reply, context_.Now()).ends);
+    return;
+  }
   jobs::WorkerSession* session = FindSession(id);
   if (session == nullptr) {
     AddLateReports(id.boot, reply);
--- a/libs/jobcontrol/src/leader_plans.cc
+++ b/libs/jobcontrol/src/leader_plans.cc
@@ -111,9 +111,11 @@
 }
 
 // Whether the next batch changes the description of the worker, which may then
-// have less capacity than the table says, or be draining.
+// have less capacity than the table says, or be draining; or whether its next
+// boot is there already.
 bool Leader::IsAboutToChange(const jobs::WorkerBoot& worker) const {
-  return std::ranges::any_of(batch_.workers,
+  return next_boots_.contains(worker.id) ||
+         std::ranges::any_of(batch_.workers,
                              [&](auto& info) { return info.boot == worker; });
 }
 
--- a/libs/jobcontrol/test/next_boot_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -1,4 +1,9 @@
-// Tests what becomes of a start that may reach the next boot of its worker.
+// Tests what becomes of the runs of a worker that is back under its id, where
+// calls that were meant for the boot before may reach the next one.
+
+#include <optional>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -7,35 +12,165 @@
 namespace sassafras::jobcontrol {
 namespace {
 
-// The next boot of a worker under the same id carried out a start that was
-// meant for the boot before, beside the run that was started elsewhere.
-TEST_F(LeaderTest, AStartIsStoppedInTheNextBootBeforeItsTaskRestarts) {
-  ASSERT_NO_FATAL_FAILURE(OrderTask());
-  const jobs::StartOrder first = FirstStart();
-  context_.orders.at(0).done({});
-  context_.orders.clear();
-  AddWorker("v");
-  jobs::WorkerInfo next_boot = Worker("w");
-  ++next_boot.boot.started_ms;
-  for (int n = 0; n < 10; ++n) {
-    context_.leader->OnHeartbeat(next_boot, context_.ClockMs(),
+constexpr auto kTick = milliseconds(50);
+
+class NextBootTest : public LeaderTest {
+ protected:
+  NextBootTest() {
+    session_options_.max_lease = milliseconds(10'000);
+    Elect(1);
+    ++next_boot_.boot.started_ms;
+  }
+
+  // The worker "w" may have begun the task of the job "j", and "v" is free.
+  void LeaveStartUnanswered() {
+    ASSERT_NO_FATAL_FAILURE(OrderTask());
+    first_ = FirstStart();
+    start_token_ = context_.orders.at(0).fencing_token;
+    std::exchange(context_.orders, {}).at(0).done({});
+    AddWorker("v");
+    PassTime(kTick);
+  }
+
+  void HearNextBoot() {
+    context_.leader->OnHeartbeat(next_boot_, context_.ClockMs(),
                                  [](RecordResult) {});
     context_.Commit();
-    context_.AnswerHolds({});
+  }
+
+  // Holds to the boots are answered: those of "v" with empty lists, those of
+  // the next boot of "w" with `lists`, if any, and others not at all.
+  void AnswerHoldsOf(const std::optional<jobs::HoldReply>& lists) {
+    for (auto& hold : std::exchange(context_.holds, {})) {
+      const bool is_next = hold.worker.boot == next_boot_.boot;
+      if (is_next) {
+        next_token_ = hold.fencing_token;
+      }
+      if (is_next && !lists) {
+        context_.holds.push_back(std::move(hold));
+        continue;
+      }
+      jobs::HoldReply reply = is_next ? *lists : jobs::HoldReply{};
+      reply.is_answered = is_next || hold.worker.boot.id.str() == "v";
+      reply.clock_ms = context_.ClockMs();
+      hold.done(reply);
+    }
     context_.Commit();
-    for (const auto& sent : std::exchange(context_.orders, {})) {
-      if (std::holds_alternative<jobs::StopOrder>(sent.call.order)) {
-        return;
+  }
+
+  void PassTime(milliseconds time,
+                const std::optional<jobs::HoldReply>& lists = std::nullopt) {
+    for (milliseconds passed{}; passed < time; passed += kTick) {
+      context_.Advance(kTick);
+      context_.Commit();
+      AnswerHoldsOf(lists);
+      for (auto& order : std::exchange(context_.orders, {})) {
+        Note(order);
       }
-      const auto* start = std::get_if<jobs::StartOrder>(&sent.call.order);
-      ASSERT_TRUE(start == nullptr || start->run == first.run)
-          << "the task starts on " << sent.worker.boot.id.str()
-          << " before its first run was stopped";
-      sent.done({});
     }
-    context_.Advance(milliseconds(100));
   }
-  FAIL() << "the start was never stopped";
+
+  void Note(FakeLeaderContext::SentOrder& order) {
+    if (std::holds_alternative<jobs::StopOrder>(order.call.order)) {
+      stopped_on_.push_back(order.worker.boot);
+    } else if (const auto* start =
+                   std::get_if<jobs::StartOrder>(&order.call.order)) {
+      started_.push_back(*start);
+    }
+    order.done({jobs::OrderResult::kAccepted, context_.ClockMs()});
+  }
+
+  jobs::HoldReply FirstRunIsRunning() const {
+    jobs::HoldReply lists;
+    lists.running = {{first_.task, first_.run, "", 10, 0}};
+    return lists;
+  }
+  jobs::HoldReply FirstRunHasEnded(jobs::RunOutcome outcome) const {
+    jobs::HoldReply lists;
+    lists.ended = {{1, first_.task, first_.run, outcome, ""}};
+    return lists;
+  }
+
+  jobs::WorkerInfo next_boot_ = Worker("w");
+  jobs::StartOrder first_;
+  uint64_t start_token_ = 0;
+  uint64_t next_token_ = 0;  // of the last hold sent to the next boot
+  std::vector<jobs::StartOrder> started_;
+  std::vector<jobs::WorkerBoot> stopped_on_;
+};
+
+// The next boot of a worker under the same id carried out a start that was
+// meant for the boot before, beside the run that was started elsewhere.
+TEST_F(NextBootTest, ATaskRestartsOnceItsNextBootTakesNoEarlierStart) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(3000));
+  EXPECT_TRUE(started_.empty()) << "the first run may begin in the next boot";
+  ASSERT_GT(next_token_, start_token_)
+      << "the next boot would carry out the first start";
+  PassTime(milliseconds(500), jobs::HoldReply{});
+  ASSERT_EQ(started_.size(), 1U);
+  EXPECT_GT(started_[0].run, first_.run);
+}
+
+TEST_F(NextBootTest, AStartThatItCarriedOutIsStoppedBeforeItsTaskRestarts) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(2000), FirstRunIsRunning());
+  EXPECT_TRUE(started_.empty());
+  ASSERT_FALSE(stopped_on_.empty());
+  EXPECT_EQ(stopped_on_[0], next_boot_.boot);
+  PassTime(milliseconds(1500), FirstRunHasEnded(jobs::RunOutcome::kStopped));
+  ASSERT_EQ(started_.size(), 1U);
+  EXPECT_GT(started_[0].run, first_.run);
+}
+
+TEST_F(NextBootTest, ATaskThatItHasDoneIsNotStartedAgain) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(3000), FirstRunHasEnded(jobs::RunOutcome::kDone));
+  EXPECT_TRUE(started_.empty());
+  EXPECT_EQ(context_.table().FindJob(wire::JobId("j"))->phase,
+            jobs::JobPhase::kCompleted);
+}
+
+TEST_F(NextBootTest, AWorkerWhoseNextBootRunsNothingGetsWorkAgain) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(500), jobs::HoldReply{});
+  Submit("k", 8);
+  PassTime(milliseconds(500), jobs::HoldReply{});
+  const auto* record = context_.table().FindWorker(wire::WorkerId("w"));
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->info.boot, next_boot_.boot);
+  EXPECT_FALSE(record->runs.empty());
+}
+
+// What reached the next boot before it fell silent may run for as long as a
+// worker allows a lease to last.
+TEST_F(NextBootTest, ASilentOneIsGivenUpAfterTheLongestLease) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(10'000));
+  EXPECT_TRUE(started_.empty());
+  PassTime(milliseconds(1000));
+  EXPECT_EQ(started_.size(), 1U);
+}
+
+// Calls that were meant for the boot before acknowledged ends of the next one
+// that nobody had read, and gave its runs longer leases.
+TEST_F(NextBootTest, EachSessionHasAHigherFencingToken) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  PassTime(milliseconds(100));
+  const uint64_t asked = next_token_;
+  EXPECT_GT(asked, start_token_);
+  PassTime(milliseconds(1000), jobs::HoldReply{});
+  const uint64_t admitted = next_token_;
+  EXPECT_GT(admitted, asked);
+  Elect(2);
+  PassTime(milliseconds(200));
+  EXPECT_GT(next_token_, admitted);
 }
 
 // Calls that were meant for the boot before acknowledged ends of the next one
--- a/libs/jobcontrol/test/simulated_workers.cc
+++ b/libs/jobcontrol/test/simulated_workers.cc
@@ -10,7 +10,7 @@
 constexpr milliseconds kHeartbeatPeriod(500);
 constexpr milliseconds kOrderTimeout(400);
 constexpr milliseconds kHoldTimeout(1100);
-// A start that got no reply is carried out within this time, if at all.
+// A call that got no reply is carried out within this time, if at all.
 constexpr milliseconds kMaxLateness(6000);
 constexpr int64_t kMaxLeaseMs = 6000;
 constexpr int64_t kFirstClockMs = 1000;
@@ -44,6 +44,7 @@
   it.highest_ended.clear();
   it.ended.clear();
   it.last_end = 0;
+  it.lapsed_ends = 0;
   it.fencing_token = 0;
   it.lease_until_ms = 0;
   it.is_up = false;
@@ -85,14 +86,7 @@
       SendHeartbeat(worker);
     }
   }
-  for (const LateStart& late : std::exchange(late_starts_, {})) {
-    Worker& worker = WorkerAt(late.address);
-    if (Now() < late.at) {
-      late_starts_.push_back(late);
-    } else if (worker.is_up && worker.info.boot == late.boot) {
-      CarryOut(worker, late.call, late.fencing_token);
-    }
-  }
+  CarryOutLateCalls();
   for (Unanswered& call : std::exchange(unanswered_, {})) {
     if (Now() < call.until) {
       unanswered_.push_back(std::move(call));
@@ -102,6 +96,26 @@
   }
 }
 
+void SimulatedWorkers::CarryOutLateCalls() {
+  for (const LateCall& late : std::exchange(late_calls_, {})) {
+    Worker& worker = WorkerAt(late.address);
+    if (Now() < late.at) {
+      late_calls_.push_back(late);
+    } else if (worker.is_up) {
+      std::visit(
+          [&](const auto& call) { CarryOut(worker, call, late.fencing_token); },
+          late.call);
+    }
+  }
+}
+
+// No leader can wait for a call that outlives its worker's lease, and then
+// reaches the next boot before that has answered anybody.
+void SimulatedWorkers::DropLateCalls(const Worker& worker) {
+  std::erase_if(late_calls_,
+                [&](auto& it) { return it.address == worker.info.address; });
+}
+
 void SimulatedWorkers::TakeCalls() {
   for (auto& order : std::exchange(context_.orders, {})) {
     TakeOrder(std::move(order));
@@ -113,11 +127,13 @@
 
 void SimulatedWorkers::LoseReplies() {
   for (const auto& order : std::exchange(context_.orders, {})) {
-    late_starts_.push_back({Now() + kOrderTimeout, order.worker.address,
-                            order.worker.boot, order.call,
-                            order.fencing_token});
+    late_calls_.push_back({Now() + kOrderTimeout, order.worker.address,
+                           order.call, order.fencing_token});
+  }
+  for (const auto& hold : std::exchange(context_.holds, {})) {
+    late_calls_.push_back({Now() + kHoldTimeout, hold.worker.address, hold.call,
+                           hold.fencing_token});
   }
-  context_.holds.clear();
   unanswered_.clear();
 }
 
@@ -154,6 +170,7 @@
 void SimulatedWorkers::EndRuns(Worker& worker) {
   const int64_t clock_ms = ClockMs(worker);
   if (clock_ms >= worker.lease_until_ms) {
+    worker.lapsed_ends = worker.last_end;
     for (Running& run : worker.runs) {
       BeginToEnd(run, jobs::RunOutcome::kLeaseExpired, worker.lease_until_ms);
     }
@@ -179,6 +196,9 @@
 }
 
 void SimulatedWorkers::Restart(Worker& worker) {
+  if (context_.table().FindWorker(worker.info.boot.id) == nullptr) {
+    DropLateCalls(worker);
+  }
   worker.is_up = true;
   worker.up_since = Now();
   worker.info.boot.started_ms = Now().count();
@@ -210,8 +230,8 @@
     CarryOut(worker, order.call, order.fencing_token);
   } else if (worker.link == Link::kLate) {
     const auto lateness = kMaxLateness * (order.call.id % 5) / 4;
-    late_starts_.push_back({Now() + lateness, order.worker.address,
-                            worker.info.boot, order.call, order.fencing_token});
+    late_calls_.push_back({Now() + lateness, order.worker.address, order.call,
+                           order.fencing_token});
   }
   unanswered_.push_back({order.worker.address, Now() + kOrderTimeout,
                          [done = std::move(order.done)] { done({}); }});
@@ -225,7 +245,12 @@
     hold.done(refused);
     return;
   }
-  if (worker.link == Link::kOpen || worker.link == Link::kLate) {
+  const bool is_late = worker.link == Link::kLate && ++late_holds_ % 3 == 0;
+  if (is_late) {
+    late_calls_.push_back({Now() + kMaxLateness * (late_holds_ % 5) / 4,
+                           hold.worker.address, hold.call, hold.fencing_token});
+  }
+  if (worker.link == Link::kOpen || (worker.link == Link::kLate && !is_late)) {
     jobs::HoldReply reply = CarryOut(worker, hold.call, hold.fencing_token);
     reply.is_answered &= hold.worker.boot == worker.info.boot;
     hold.done(reply);
@@ -290,8 +315,7 @@
   if (!ExtendLease(worker, call.lease_until_ms, fencing_token)) {
     return reply;
   }
-  std::erase_if(worker.ended,
-                [&](auto& end) { return end.number <= call.end_cursor; });
+  NoteEnds(worker, call.end_cursor);
   reply.is_answered = true;
   reply.clock_ms = ClockMs(worker);
   reply.ended = worker.ended;
@@ -303,6 +327,17 @@
   return reply;
 }
 
+void SimulatedWorkers::NoteEnds(Worker& worker, uint64_t end_cursor) {
+  for (const jobs::EndReport& it : worker.ended) {
+    if (it.number <= end_cursor && it.number > worker.lapsed_ends &&
+        it.outcome == jobs::RunOutcome::kDone) {
+      noted_as_done_.insert(it.task);
+    }
+  }
+  std::erase_if(worker.ended,
+                [&](auto& it) { return it.number <= end_cursor; });
+}
+
 void SimulatedWorkers::End(Worker& worker,
                            const Running& run,
                            jobs::RunOutcome outcome) {
@@ -316,6 +351,11 @@
 
 void SimulatedWorkers::CheckStart(const Worker& worker,
                                   const jobs::StartOrder& order) {
+  if (noted_as_done_.contains(order.task) && violation_.empty()) {
+    violation_ = "run " + std::to_string(order.run) + " of " +
+                 jobs::FormatTaskName(order.task) + " starts on " +
+                 worker.info.boot.id.str() + " though the task is done";
+  }
   for (const Worker& other : workers_) {
     for (const Running& run : other.runs) {
       if (run.task == order.task && violation_.empty()) {
--- a/libs/jobcontrol/test/simulated_workers.h
+++ b/libs/jobcontrol/test/simulated_workers.h
@@ -7,7 +7,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "leader_fixture.h"
@@ -20,7 +22,7 @@
   kSilent,       // calls and heartbeats get lost
   kOneWay,       // calls get lost, heartbeats arrive
   kLostReplies,  // calls are carried out, and their replies get lost
-  kLate,         // starts are carried out later, without a reply
+  kLate,  // starts and every third hold are carried out later, without a reply
 };
 
 class SimulatedWorkers {
@@ -43,8 +45,7 @@
   void Advance();
   // Carries out the calls that were made, or loses them.
   void TakeCalls();
-  // The calls in flight stay without a reply; starts among them may be carried
-  // out later.
+  // The calls in flight stay without a reply and are carried out later.
   void LoseReplies();
 
   size_t size() const { return workers_.size(); }
@@ -76,6 +77,8 @@
     std::vector<Running> runs;
     std::map<jobs::TaskKey, uint64_t> highest_ended;
     std::vector<jobs::EndReport> ended;
+    // Ends up to this number were followed by an end of the lease.
+    uint64_t lapsed_ends = 0;
     uint64_t last_end = 0;
   };
   // A call whose caller waits for the reply in vain.
@@ -84,11 +87,12 @@
     milliseconds until{};
     std::function<void()> give_up;
   };
-  struct LateStart {
+  // A call that whichever boot is then up carries out, as calls name the
+  // worker's id only.
+  struct LateCall {
     milliseconds at{};
     std::string address;
-    jobs::WorkerBoot boot;
-    jobs::OrderCall call;
+    std::variant<jobs::OrderCall, jobs::HoldCall> call;
     uint64_t fencing_token = 0;
   };
 
@@ -99,6 +103,9 @@
   void EndRuns(Worker& worker);
   void BeginToEnd(Running& run, jobs::RunOutcome outcome, int64_t clock_ms);
   void Restart(Worker& worker);
+  void DropLateCalls(const Worker& worker);
+  void CarryOutLateCalls();
+  void NoteEnds(Worker& worker, uint64_t end_cursor);
   void SendHeartbeat(Worker& worker);
   void TakeOrder(FakeLeaderContext::SentOrder order);
   void TakeHold(FakeLeaderContext::SentHold hold);
@@ -119,7 +126,10 @@
   const milliseconds stop_time_;
   std::vector<Worker> workers_;
   std::vector<Unanswered> unanswered_;
-  std::vector<LateStart> late_starts_;
+  std::vector<LateCall> late_calls_;
+  uint64_t late_holds_ = 0;
+  // Tasks of which the leader has acknowledged an end as done, under a lease.
+  std::set<jobs::TaskKey> noted_as_done_;
   std::string violation_;
 };
 
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -120,6 +120,10 @@
   base::Duration lease = std::chrono::milliseconds(4000);
   // The longest lease that an earlier leader may have given.
   base::Duration inherited_lease = std::chrono::milliseconds(6000);
+  // The longest lease that a worker takes, whatever a call says. A call that
+  // was meant for an earlier boot tells a time on that boot's clock, so it may
+  // give that much.
+  base::Duration max_lease = std::chrono::milliseconds(6000);
   // How long a worker may take to end its runs when their lease has expired.
   base::Duration stop_time{};
 };
@@ -148,6 +152,9 @@
   // when the lease has expired.
   void OnLeave() { is_leaving_ = true; }
 
+  // From now on the worker gets no longer lease and no new work.
+  void WithholdLease() { withholds_lease_ = true; }
+
   // This process is known to have led at `at`, and maybe not later; nullopt if
   // that isn't known yet. Until the first call, it led when the session began.
   void OnLeadership(std::optional<base::Instant> at) { leads_at_ = at; }
@@ -184,6 +191,10 @@
   // said that it leaves, and its lease has expired. Refused connections don't
   // prove that earlier.
   bool IsLost(base::Instant now) const;
+  // Whether the last reply shows that nothing runs there, and that all runs
+  // that did have been reported as ended. Calls of earlier sessions, which the
+  // worker rejects since its first reply, start nothing any more.
+  bool RunsNothing() const { return runs_nothing_; }
   LeaseReading ReadLease(base::Instant now) const { return lease_.Read(now); }
   // Whether it has refused connections since its last sign of life. Its process
   // has probably exited, but may as well be cut off.
@@ -267,6 +278,7 @@
   // nullopt if none was refused.
   std::optional<base::Instant> refused_since_;
   bool is_leaving_ = false;
+  bool withholds_lease_ = false;
   base::Instant unhealthy_until_;
   bool has_open_hold_ = false;
   base::Instant hold_sent_;
@@ -274,6 +286,7 @@
   uint64_t recorded_cursor_ = 0;
   uint64_t reported_cursor_ = 0;  // last end read; at least recorded_cursor_
   std::vector<RunReport> running_;
+  bool runs_nothing_ = false;  // as of the last reply
 };
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -296,6 +296,7 @@
   last_reply_ = now;
   last_heard_ = now;
   running_ = reply.running;
+  runs_nothing_ = false;
   std::set<RunKey> ended;
   for (const EndReport& report : reply.ended) {
     const RunKey key(report.task, report.run);
@@ -333,6 +334,7 @@
     }
   }
   std::ranges::for_each(closed, [this](auto& key) { runs_.erase(key); });
+  runs_nothing_ = is_list_whole && runs_.empty();
   return outcome;
 }
 
@@ -377,7 +379,7 @@
 // The lease of a worker that leaves or may be lost isn't renewed, so that its
 // tasks can soon be restarted elsewhere.
 int64_t WorkerSession::ExtendLease(base::Instant now) {
-  if (MayBeLost(now) || is_leaving_ || !leads_at_) {
+  if (MayBeLost(now) || is_leaving_ || withholds_lease_ || !leads_at_) {
     return 0;
   }
   const base::Duration length = info_.is_draining
@@ -388,7 +390,7 @@
 
 bool WorkerSession::IsUsable(base::Instant now) const {
   return has_replied_ && !MayBeLost(now) && now >= unhealthy_until_ &&
-         !info_.is_draining && !is_leaving_;
+         !info_.is_draining && !is_leaving_ && !withholds_lease_;
 }
 
 bool WorkerSession::IsLost(base::Instant now) const {
