--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -129,6 +129,7 @@
   bool IsAboutToChange(const jobs::WorkerBoot& worker) const;
   void AddDueOccurrences();
   void RemoveLostWorkers();
+  void AddSettledWorkers();
   // Why none of a worker's runs can still be running.
   enum class LossProof {
     kLeaseExpired,
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -280,6 +280,8 @@
                       std::back_inserter(batch_.removed_workers));
     std::ranges::copy(batch.cursors, std::back_inserter(batch_.cursors));
     std::ranges::copy(batch.begun_jobs, std::back_inserter(batch_.begun_jobs));
+    std::ranges::copy(batch.settled_workers,
+                      std::back_inserter(batch_.settled_workers));
     std::ranges::copy(batch.proven_runs,
                       std::back_inserter(batch_.proven_runs));
   }
@@ -367,6 +369,7 @@
 
 void Leader::Tick() {
   RemoveLostWorkers();
+  AddSettledWorkers();
   ProveSuspects();
   AddDueOccurrences();
   StartCallRound();
--- a/libs/jobcontrol/src/leader_losses.cc
+++ b/libs/jobcontrol/src/leader_losses.cc
@@ -49,6 +49,16 @@
   GiveUpSilentNextBoots();
 }
 
+// A later leader that knew nothing of it would wait for the longest lease.
+void Leader::AddSettledWorkers() {
+  const base::Instant now = context_.Now();
+  for (auto& session : sessions_ | std::views::values) {
+    if (session.HasJustSettled(now)) {
+      batch_.settled_workers.push_back(session.boot());
+    }
+  }
+}
+
 // A worker that comes back under its id, or another one at its address, shows
 // that its process has ended. The other one rejects calls for its id.
 void Leader::DeclareReplacedWorkersLost(const jobs::WorkerInfo& successor,
--- a/libs/jobcontrol/src/leader_next_boots.cc
+++ b/libs/jobcontrol/src/leader_next_boots.cc
@@ -26,9 +26,7 @@
         .Write();
     jobs::WorkerRecord record;
     record.info = worker;
-    jobs::SessionOptions options = options_.session;
-    options.inherited_lease = options.max_lease;
-    jobs::WorkerSession session(record, options, now, ++last_session_);
+    jobs::WorkerSession session(record, options_.session, now, ++last_session_);
     session.WithholdLease();
     it = next_boots_.insert_or_assign(worker.boot.id, std::move(session)).first;
   }
--- a/libs/jobcontrol/test/next_boot_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -173,6 +173,71 @@
   EXPECT_GT(next_token_, admitted);
 }
 
+class NewBootLeaseTest : public NextBootTest {
+ protected:
+  // Has a new boot of the worker "w" run the task of the job "j" after `time`,
+  // while "v" has no room.
+  void RunTaskAfter(milliseconds time) {
+    AddWorker("w");
+    Answer(time);
+    Submit("j");
+    Answer(milliseconds(100));
+    ASSERT_EQ(started_.size(), 1U);
+    AddWorker("v");
+    started_.clear();
+  }
+  void Answer(milliseconds time) {
+    for (milliseconds passed{}; passed < time; passed += kTick) {
+      context_.Advance(kTick);
+      context_.Commit();
+      jobs::HoldReply lists;
+      for (const auto& start : started_) {
+        lists.running.push_back({start.task, start.run, "", 10, 0});
+      }
+      context_.AnswerHolds(lists);
+      for (auto& order : std::exchange(context_.orders, {})) {
+        Note(order);
+      }
+      context_.Commit();
+    }
+  }
+  // Returns how long the worker "w" is silent until its task restarts.
+  milliseconds TimeUntilRestart() {
+    milliseconds silent{};
+    while (started_.empty() && silent < milliseconds(20'000)) {
+      PassTime(kTick);
+      silent += kTick;
+    }
+    return silent;
+  }
+};
+
+// A late call that was meant for an earlier boot gave runs of the next one a
+// lease that outlasted the leader's, and they went on beside their tasks' next
+// runs.
+TEST_F(NewBootLeaseTest, ANewBootIsGivenUpAfterTheLongestLeaseOfAnEarlierCall) {
+  ASSERT_NO_FATAL_FAILURE(RunTaskAfter(milliseconds(500)));
+  EXPECT_GT(TimeUntilRestart(), milliseconds(9000));
+}
+
+TEST_F(NewBootLeaseTest, OneThatHasSettledIsGivenUpAfterTheLeadersOwnLease) {
+  ASSERT_NO_FATAL_FAILURE(RunTaskAfter(milliseconds(11'000)));
+  EXPECT_LT(TimeUntilRestart(), milliseconds(5500));
+}
+
+TEST_F(NewBootLeaseTest, ANewLeaderWaitsAsLongForOneThatHasNotSettled) {
+  ASSERT_NO_FATAL_FAILURE(RunTaskAfter(milliseconds(500)));
+  Elect(2);
+  EXPECT_GT(TimeUntilRestart(), milliseconds(9000));
+}
+
+TEST_F(NewBootLeaseTest, ANewLeaderKnowsWhichHaveSettled) {
+  session_options_.inherited_lease = session_options_.lease;
+  ASSERT_NO_FATAL_FAILURE(RunTaskAfter(milliseconds(11'000)));
+  Elect(2);
+  EXPECT_LT(TimeUntilRestart(), milliseconds(5500));
+}
+
 // Calls that were meant for the boot before acknowledged ends of the next one
 // that nobody had read, so that tasks ran again although they were done.
 TEST_F(LeaderTest, CallsForALaterBootHaveAHigherFencingToken) {
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -133,14 +133,18 @@
   WorkerInfo info;
   uint64_t end_cursor = 0;    // run ends up to this number are recorded
   std::vector<OpenRun> runs;  // in the order in which they were started
-  WorkerLoad load;            // of `runs`; not part of a snapshot
+  // No call that was meant for an earlier boot can have given this one a lease
+  // that still runs. Such a call tells a time on the earlier boot's clock.
+  bool is_settled = false;
+  WorkerLoad load;  // of `runs`; not part of a snapshot
 
   const OpenRun* FindRun(const TaskKey& task, uint64_t run) const;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerRecord,
                                                 info,
                                                 end_cursor,
-                                                runs)
+                                                runs,
+                                                is_settled)
 
 // --- commands ---
 
@@ -220,6 +224,7 @@
   std::vector<StartRun> starts;
   // Workers have shown that they began a run of these jobs.
   std::vector<wire::JobId> begun_jobs;
+  std::vector<WorkerBoot> settled_workers;
   std::vector<wire::JobId> forgotten;
 
   bool IsEmpty() const;
@@ -236,6 +241,7 @@
                                                 occurrences,
                                                 starts,
                                                 begun_jobs,
+                                                settled_workers,
                                                 forgotten)
 
 // Effects of a batch, as the leader needs them.
@@ -317,6 +323,7 @@
   void Begin(const BeginOccurrence& begin);
   bool Start(const StartRun& start);
   void MarkBegun(const wire::JobId& id);
+  void Settle(const WorkerBoot& boot);
   void Forget(const wire::JobId& id);
 
   void EndAllRuns(WorkerRecord& worker);
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -32,12 +32,16 @@
   static constexpr double kSlowestClock = 0.98;
 
   // `responsible_since` is the time at which this process became responsible
-  // for the worker. Before that, another leader may have sent bounds of up to
-  // `inherited_limit`. The worker takes up to `stop_time` to end runs.
+  // for the worker. Before that, others may have given it a lease of up to
+  // `inherited_limit`: another leader, or calls that were meant for an earlier
+  // boot. The worker takes up to `stop_time` to end runs.
   WorkerLease(base::Instant responsible_since,
               base::Duration inherited_limit,
               base::Duration stop_time);
 
+  // Others may have given a lease of up to `inherited_limit` until now.
+  void RestartInheritance(base::Instant now) { responsible_since_ = now; }
+
   // The worker reported its clock in a reply or heartbeat received at `now`.
   void OnClock(base::Instant now, int64_t clock_ms);
 
@@ -50,6 +54,9 @@
                                 base::Instant leads_at,
                                 base::Duration length);
 
+  // Whether the bounds that others may have sent have passed, and then the time
+  // that the worker takes to end its runs.
+  bool HasInheritanceEnded(base::Instant now) const;
   // Whether every bound that was ever sent has passed, and then the time that
   // the worker takes to end its runs.
   bool HasEndedRuns(base::Instant now) const;
@@ -59,7 +66,7 @@
  private:
   int64_t ClockAt(base::Instant now) const;
 
-  base::Instant responsible_since_;
+  base::Instant responsible_since_;  // of all bounds that are given
   base::Duration inherited_limit_;
   base::Duration stop_time_;
   std::optional<int64_t> clock_ms_;  // worker's clock at `clock_read_at_`
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -118,7 +118,8 @@
 struct SessionOptions {
   // Counted from the last time at which this process is known to have led.
   base::Duration lease = std::chrono::milliseconds(4000);
-  // The longest lease that an earlier leader may have given.
+  // The longest lease that an earlier leader may have given to a boot that it
+  // has settled with.
   base::Duration inherited_lease = std::chrono::milliseconds(6000);
   // The longest lease that a worker takes, whatever a call says. A call that
   // was meant for an earlier boot tells a time on that boot's clock, so it may
@@ -191,6 +192,9 @@
   // said that it leaves, and its lease has expired. Refused connections don't
   // prove that earlier.
   bool IsLost(base::Instant now) const;
+  // Returns true once, when the longest lease that a call for an earlier boot
+  // may have given has ended; never if the record says so already.
+  bool HasJustSettled(base::Instant now);
   // Whether the last reply shows that nothing runs there, and that all runs
   // that did have been reported as ended. Calls of earlier sessions, which the
   // worker rejects since its first reply, start nothing any more.
@@ -262,6 +266,7 @@
   WorkerInfo info_;
   SessionOptions options_;
   WorkerLease lease_;
+  bool is_settled_ = false;  // see WorkerRecord
   std::optional<base::Instant> leads_at_;
   std::map<RunKey, RunState> runs_;
   std::vector<TaskKey> begun_tasks_;  // since the last TakeBegunTasks()
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -85,7 +85,8 @@
   return manifests.empty() && ends.empty() && proven_runs.empty() &&
          workers.empty() && cursors.empty() && removed_workers.empty() &&
          cancels.empty() && jobs.empty() && occurrences.empty() &&
-         starts.empty() && begun_jobs.empty() && forgotten.empty();
+         starts.empty() && begun_jobs.empty() && settled_workers.empty() &&
+         forgotten.empty();
 }
 
 void Changes::Append(Changes later) {
@@ -121,6 +122,8 @@
   std::ranges::copy_if(batch.starts, std::back_inserter(changes_.started),
                        [this](auto& it) { return Start(it); });
   std::ranges::for_each(batch.begun_jobs, [this](auto& it) { MarkBegun(it); });
+  std::ranges::for_each(batch.settled_workers,
+                        [this](auto& it) { Settle(it); });
   std::ranges::for_each(batch.forgotten, [this](auto& it) { Forget(it); });
   return std::exchange(changes_, {});
 }
@@ -194,6 +197,7 @@
     ++worker_set_version_;
     EndAllRuns(worker);
     worker.end_cursor = 0;
+    worker.is_settled = false;
   }
   worker.info = info;
   worker.info.is_draining |= was_draining;
@@ -327,6 +331,13 @@
   }
 }
 
+void JobTable::Settle(const WorkerBoot& boot) {
+  const auto it = workers_.find(boot.id);
+  if (it != workers_.end() && it->second.info.boot == boot) {
+    it->second.is_settled = true;
+  }
+}
+
 void JobTable::Forget(const wire::JobId& id) {
   const auto it = jobs_.find(id);
   if (it != jobs_.end() && it->second.phase != JobPhase::kActive) {
--- a/libs/jobs/src/lease.cc
+++ b/libs/jobs/src/lease.cc
@@ -42,12 +42,16 @@
   return latest_bound_ms_;
 }
 
-bool WorkerLease::HasEndedRuns(base::Instant now) const {
+bool WorkerLease::HasInheritanceEnded(base::Instant now) const {
   const auto inherited_us =
       static_cast<double>((inherited_limit_ + stop_time_).count());
   const auto inherited_time = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double, std::micro>(inherited_us / kSlowestClock));
-  if (now - responsible_since_ <= inherited_time) {
+  return now - responsible_since_ > inherited_time;
+}
+
+bool WorkerLease::HasEndedRuns(base::Instant now) const {
+  if (!HasInheritanceEnded(now)) {
     return false;
   }
   const auto stop_time =
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -50,7 +50,10 @@
     : number_(number),
       info_(record.info),
       options_(options),
-      lease_(now, options.inherited_lease, options.stop_time),
+      lease_(now,
+             record.is_settled ? options.inherited_lease : options.max_lease,
+             options.stop_time),
+      is_settled_(record.is_settled),
       leads_at_(now),
       last_reply_(now),
       last_heard_(now),
@@ -292,6 +295,10 @@
   }
   refused_since_.reset();
   lease_.OnClock(now, reply.clock_ms);
+  // From now on the worker rejects the calls of earlier sessions.
+  if (!has_replied_ && !is_settled_) {
+    lease_.RestartInheritance(now);
+  }
   has_replied_ = true;
   last_reply_ = now;
   last_heard_ = now;
@@ -410,6 +417,12 @@
   return std::max(base::Duration{}, LastSignOfLife() - *it->second.sent_at);
 }
 
+bool WorkerSession::HasJustSettled(base::Instant now) {
+  const bool was_settled = is_settled_;
+  is_settled_ |= has_replied_ && lease_.HasInheritanceEnded(now);
+  return is_settled_ && !was_settled;
+}
+
 std::string WorkerSession::CheckpointOf(const TaskKey& task,
                                         uint64_t run) const {
   const auto it = std::ranges::find_if(running_, [&](auto& report) {
