Leader: a worker that drains gets no start that it hasn't confirmed (DRAIN, review/9)

What callers saw: tasks were started on a worker more than DrainMs after its notice had been acknowledged, and ended with it.

Cause: the session sent on starts that were queued there, and repeated those that had got no answer, as only the plan looked whether the worker drains.

Change: when the table records that a worker drains, its unconfirmed starts are withdrawn, as those are that no longer fit.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -194,7 +194,7 @@
                uint64_t run);
   void StopRunsOn(jobs::WorkerSession& session,
                   const jobs::WorkerRecord& record);
-  // Withdraws starts that no longer fit on the worker.
+  // Withdraws starts that no longer fit on the worker, or all if it drains.
   void StopUnfittingStarts(const jobs::WorkerBoot& worker);
   bool IsWanted(const jobs::TaskKey& task) const;
   size_t SendPendingCalls(jobs::WorkerSession& session);
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -114,8 +114,8 @@
   SendPendingCalls(session);
 }
 
-// A worker whose capacity has shrunk carries out starts all the same. Runs that
-// it has confirmed go on.
+// A worker whose capacity has shrunk, or that drains, carries out starts all
+// the same. Runs that it has confirmed go on.
 void Leader::StopUnfittingStarts(const jobs::WorkerBoot& worker) {
   const jobs::WorkerRecord* record = context_.table().FindWorker(worker.id);
   jobs::WorkerSession* session = FindSession(worker);
@@ -127,8 +127,9 @@
   // counts, so that an earlier one isn't repeated beside it.
   for (const jobs::OpenRun& run :
        std::vector(record->runs.rbegin(), record->runs.rend())) {
-    if (used.Fits(record->info.capacity) ||
-        !session->IsStartPending(run.task, run.run)) {
+    const bool is_welcome =
+        !record->info.is_draining && used.Fits(record->info.capacity);
+    if (is_welcome || !session->IsStartPending(run.task, run.run)) {
       continue;
     }
     Decision("start-withdrawn")
--- a/libs/jobcontrol/test/leaving_worker_test.cc
+++ b/libs/jobcontrol/test/leaving_worker_test.cc
@@ -105,5 +105,43 @@
   EXPECT_EQ(hold->call.lease_until_ms, 0);
 }
 
+// Starts that were queued for a worker, or that it left unanswered, were sent
+// on for as long as it took after it had said that it drains.
+TEST_F(LeavingWorkerTest, AWorkerThatDrainsGetsNoStartThatItHasNotConfirmed) {
+  AddWorker("w");
+  context_.AnswerHolds({});
+  Submit("j", 4);
+  context_.Commit();
+  const size_t sent = context_.orders.size();
+  ASSERT_LT(sent, 4U) << "some starts must still be queued";
+  AddWorker("v");
+  context_.AnswerHolds({});
+  jobs::WorkerInfo draining = Worker("w");
+  draining.is_draining = true;
+  context_.leader->OnHeartbeat(draining, context_.ClockMs(),
+                               [](RecordResult) {});
+  context_.Commit();
+  size_t started_on_v = 0;
+  for (int n = 0; n < 40; ++n) {
+    for (const auto& order : std::exchange(context_.orders, {})) {
+      const bool is_start =
+          std::holds_alternative<jobs::StartOrder>(order.call.order);
+      const bool is_draining = order.worker.boot == draining.boot;
+      EXPECT_FALSE(is_start && is_draining && n > 0);
+      started_on_v += is_start && !is_draining ? 1 : 0;
+      order.done(is_start && is_draining
+                     ? jobs::OrderReply{}
+                     : jobs::OrderReply{jobs::OrderResult::kAccepted,
+                                        context_.ClockMs()});
+    }
+    context_.Commit();
+    AnswerHolds(jobs::HoldReply{});
+    context_.Commit();
+    context_.Advance(milliseconds(50));
+    context_.Commit();
+  }
+  EXPECT_EQ(started_on_v, 4U);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
