--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -254,6 +254,9 @@
   EndRun CloseRun(const RunKey& key, RunOutcome outcome);
   void MarkStopped(RunState& state, base::Instant now);
   void MarkBegun(const RunKey& key, RunState& state);
+  void OnFailedHold(bool is_refused, base::Instant now);
+  void TakeEnds(const HoldReply& reply, HoldOutcome& outcome);
+  void ReconcileRuns(const HoldReply& reply, HoldOutcome& outcome);
   std::optional<EndRun> ReconcileRun(const RunKey& key,
                                      RunState& state,
                                      bool is_running);
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <ranges>
-#include <set>
 #include <utility>
 
 namespace sassafras::jobs {
@@ -13,13 +11,6 @@
 
 constexpr size_t kMaxOrdersInFlight = 3;
 constexpr auto kOrderRetryDelay = std::chrono::milliseconds(150);
-constexpr auto kHoldWait = std::chrono::milliseconds(700);
-constexpr auto kHoldRetryDelay = std::chrono::milliseconds(50);
-// A worker that refuses connections says by a heartbeat that it is back.
-constexpr auto kRefusedHoldRetryDelay = std::chrono::milliseconds(200);
-// Maximum time that the next hold is delayed while reported run ends are being
-// recorded.
-constexpr auto kMaxRecordDelay = std::chrono::milliseconds(800);
 // A worker that has not replied to a hold for longer than this gets no new work
 // and no lease renewal.
 constexpr auto kMaxSilence = std::chrono::milliseconds(1600);
@@ -27,8 +18,6 @@
 // the delay of the next one.
 constexpr base::Duration kDrainingLease = std::chrono::milliseconds(2000);
 constexpr auto kUnhealthyPause = std::chrono::milliseconds(1000);
-// A list of run ends that reaches this length may be truncated.
-constexpr size_t kMaxListedEnds = 500;
 
 // A worker's answer tells its clock; without it, a host on the way may have
 // answered. Then an acceptance counts as no answer, and the order is repeated.
@@ -261,120 +250,6 @@
   return end;
 }
 
-std::optional<HoldCall> WorkerSession::TakeHold(base::Instant now) {
-  const bool is_unrecorded = reported_cursor_ > recorded_cursor_;
-  if (has_open_hold_ || now < next_hold_ ||
-      (is_unrecorded && now < hold_sent_ + kMaxRecordDelay)) {
-    return std::nullopt;
-  }
-  HoldCall call;
-  // A later boot that has taken the place of a worker numbers its ends anew,
-  // and must not forget those that nobody has read.
-  call.end_cursor = MayBeLost(now) ? 0 : recorded_cursor_;
-  call.lease_until_ms = ExtendLease(now);
-  if (has_replied_) {
-    call.wait = kHoldWait;
-  }
-  has_open_hold_ = true;
-  hold_sent_ = now;
-  return call;
-}
-
-HoldOutcome WorkerSession::OnHoldReply(const HoldReply& reply,
-                                       base::Instant now) {
-  has_open_hold_ = false;
-  HoldOutcome outcome{{}, reported_cursor_};
-  has_last_hold_failed_ = !reply.is_answered;
-  if (!reply.is_answered) {
-    next_hold_ = now + kHoldRetryDelay;
-    if (reply.is_refused) {
-      next_hold_ = now + kRefusedHoldRetryDelay;
-      refused_since_ = refused_since_.value_or(now);
-    }
-    return outcome;
-  }
-  refused_since_.reset();
-  lease_.OnClock(now, reply.clock_ms);
-  // From now on the worker rejects the calls of earlier sessions.
-  if (!has_replied_ && !is_settled_) {
-    lease_.RestartInheritance(now);
-  }
-  has_replied_ = true;
-  last_reply_ = now;
-  last_heard_ = now;
-  running_ = reply.running;
-  runs_nothing_ = false;
-  std::set<RunKey> ended;
-  for (const EndReport& report : reply.ended) {
-    const RunKey key(report.task, report.run);
-    ended.insert(key);
-    runs_.erase(key);
-    if (report.number > reported_cursor_) {
-      outcome.ends.push_back({info_.boot, report.task, report.run,
-                              report.outcome, report.checkpoint});
-      outcome.end_cursor = std::max(outcome.end_cursor, report.number);
-    }
-  }
-  reported_cursor_ = outcome.end_cursor;
-  if (reply.ended.size() + reply.unread_ends >= kMaxListedEnds) {
-    return outcome;
-  }
-  std::set<RunKey> running;
-  for (const RunReport& report : reply.running) {
-    const RunKey key(report.task, report.run);
-    running.insert(key);
-    // This session doesn't know the run: it was ordered for an earlier boot or
-    // has been abandoned.
-    if (!runs_.contains(key)) {
-      runs_[key].phase = Phase::kStopping;
-      may_have_due_orders_ = true;
-    }
-  }
-  // A row that can't be read may be that of any run.
-  const bool is_list_whole = reply.unread_running == 0;
-  std::vector<RunKey> closed;
-  for (auto& [key, state] : runs_) {
-    auto end = ReconcileRun(key, state, running.contains(key));
-    if (end && is_list_whole) {
-      outcome.ends.push_back(*std::move(end));
-      closed.push_back(key);
-    }
-  }
-  std::ranges::for_each(closed, [this](auto& key) { runs_.erase(key); });
-  runs_nothing_ = is_list_whole && runs_.empty();
-  return outcome;
-}
-
-// Updates the state of a run that a hold reply doesn't list as ended. Returns
-// its end if the reply proves that it will never run.
-std::optional<EndRun> WorkerSession::ReconcileRun(const RunKey& key,
-                                                  RunState& state,
-                                                  bool is_running) {
-  if (is_running) {
-    MarkBegun(key, state);
-    if (state.phase == Phase::kInherited || state.phase == Phase::kQueued ||
-        state.phase == Phase::kStarting) {
-      state.phase = Phase::kStarted;
-    }
-    return std::nullopt;
-  }
-  // The hold carried this leader's fencing token, so the worker no longer
-  // starts runs ordered by earlier leaders.
-  const base::Duration stop_time =
-      state.has_run ? options_.stop_time : base::Duration{};
-  const bool is_gone = state.phase == Phase::kInherited ||
-                       (state.phase == Phase::kStopped &&
-                        hold_sent_ >= state.stopped_at + stop_time);
-  if (!is_gone) {
-    return std::nullopt;
-  }
-  return EndRun{info_.boot, key.first, key.second, RunOutcome::kRejected, ""};
-}
-
-void WorkerSession::OnRecorded(uint64_t cursor) {
-  recorded_cursor_ = std::max(recorded_cursor_, cursor);
-}
-
 bool WorkerSession::IsSilent(base::Instant now) const {
   return now - last_reply_ > kMaxSilence;
 }
