--- a/libs/jobcontrol/include/jobcontrol/messages.h
+++ b/libs/jobcontrol/include/jobcontrol/messages.h
@@ -82,20 +82,32 @@
   consensus::ReplicaId replica;  // empty if the sender hosts no replica
   uint64_t manifest_version = 0;
   bool is_stopping = false;  // the sender was told to stop
+  // Whether the sender reads HelloReply::packed_manifest.
+  bool unpacks_manifest = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Hello,
                                                 name,
                                                 is_adviser,
                                                 replica,
                                                 manifest_version,
-                                                is_stopping)
+                                                is_stopping,
+                                                unpacks_manifest)
 
 struct HelloReply {
   std::vector<consensus::Member> members;
-  // Has version 0 unless an entry with an older manifest sent the hello.
+  // Has version 0 unless an entry of an earlier version of the program, with an
+  // older manifest, sent the hello.
   jobs::Manifest manifest;
+  // The encoded manifest, which has `packed_version`; empty unless an entry
+  // with an older one sent the hello.
+  std::string packed_manifest;
+  uint64_t packed_version = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HelloReply, members, manifest)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HelloReply,
+                                                members,
+                                                manifest,
+                                                packed_manifest,
+                                                packed_version)
 
 // Converts a recorded job to the status that callers see.
 JobStatus JobStatusOf(const jobs::JobRecord& job);
--- a/libs/jobcontrol/src/control_node.cc
+++ b/libs/jobcontrol/src/control_node.cc
@@ -19,6 +19,7 @@
 #include "jobcontrol/leader.h"
 #include "jobcontrol/membership.h"
 #include "jobcontrol/messages.h"
+#include "packed_manifest.h"
 #include "relay_host.h"
 #include "relayed_link.h"
 #include "telemetry/decision.h"
@@ -513,8 +514,13 @@
     group_->OnStopping(hello.replica, hello.is_stopping);
     HelloReply answer;
     answer.members = Members();
-    if (hello.replica.empty() &&
-        hello.manifest_version < table_.manifest().version) {
+    const bool lacks_manifest =
+        hello.replica.empty() &&
+        hello.manifest_version < table_.manifest().version;
+    if (lacks_manifest && hello.unpacks_manifest) {
+      answer.packed_manifest = packed_manifest_.Pack(table_.manifest());
+      answer.packed_version = table_.manifest().version;
+    } else if (lacks_manifest) {
       answer.manifest = table_.manifest();
       answer.manifest.text.clear();
     }
@@ -659,6 +665,7 @@
   bool is_stopping_ = false;        // this process was told to stop
   // Times of the last hello, by sender.
   std::map<wire::EntryId, base::Instant> adviser_last_seen_;
+  PackedManifest packed_manifest_;
 };
 
 ControlNode::ControlNode(const settings::Settings& settings,
--- a/libs/jobcontrol/src/entry_node.cc
+++ b/libs/jobcontrol/src/entry_node.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "jobcontrol/advice_host.h"
+#include "packed_manifest.h"
 #include "telemetry/decision.h"
 #include "wire/codec.h"
 
@@ -108,6 +109,7 @@
     hello.name = self_;
     hello.is_adviser = !is_draining_;
     hello.manifest_version = manifest_.version;
+    hello.unpacks_manifest = true;
     const base::Instant sent_at = kernel::MonotonicNow();
     client_.Call(
         std::string(kHelloMethod), hello, kHelloTimeout, cluster::Resend::kYes,
@@ -155,6 +157,10 @@
       return;
     }
     last_leader_reply_ = std::max(last_leader_reply_, sent_at);
+    if (answer->packed_version > manifest_.version) {
+      answer->manifest = UnpackManifest(answer->packed_manifest)
+                             .value_or(std::move(answer->manifest));
+    }
     if (answer->manifest.version > manifest_.version) {
       Decision("manifest").With("version", answer->manifest.version).Write();
       manifest_ = std::move(answer->manifest);
