--- a/libs/jobs/src/job_table_queues.cc
+++ b/libs/jobs/src/job_table_queues.cc
@@ -3,14 +3,23 @@
 #include <algorithm>
 #include <map>
 #include <ranges>
+#include <string_view>
+#include <utility>
 
 #include "jobs/job_table.h"
 
 namespace sassafras::jobs {
 namespace {
 
+// Host and path.
+using Route = std::pair<std::string_view, std::string_view>;
+
+Route RouteOf(const Queue& queue) {
+  return {queue.host, queue.path_prefix};
+}
+
 bool IsSameRoute(const Queue& left, const Queue& right) {
-  return left.host == right.host && left.path_prefix == right.path_prefix;
+  return RouteOf(left) == RouteOf(right);
 }
 
 }  // namespace
@@ -32,12 +41,15 @@
 // Callers know a queue by its host and path only, so its jobs keep to these
 // when the operator gives it another name.
 void JobTable::MoveJobsOfRenamedQueues() {
-  std::map<QueueId, QueueId> new_names;
+  std::map<Route, const Queue*> current;
   for (const Queue& queue : manifest_.queues) {
-    for (const auto& [id, earlier] : queues_) {
-      if (id != queue.id && IsSameRoute(earlier, queue)) {
-        new_names.emplace(id, queue.id);
-      }
+    current.emplace(RouteOf(queue), &queue);
+  }
+  std::map<QueueId, QueueId> new_names;
+  for (const auto& [id, earlier] : queues_) {
+    const auto it = current.find(RouteOf(earlier));
+    if (it != current.end() && it->second->id != id) {
+      new_names.emplace(id, it->second->id);
     }
   }
   if (new_names.empty()) {
