Leader: a next boot that is recorded meanwhile is no longer asked what it runs

A batch of an earlier leader may record the later boot while this leader still asks it. The answer would have declared that boot itself lost, with what had been started there. The test fails without the change. One function records a worker for both callers; the linter asked for one copy less.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -114,6 +114,8 @@
 
   void Begin();
   void OpenSession(const jobs::WorkerRecord& record);
+  // Adds the description of a worker to the next batch.
+  void RecordWorker(jobs::WorkerInfo worker);
   void SyncSessions();
   void Flush();
   enum class PlanScope { kAllSteps, kUrgentSteps };
@@ -155,8 +157,10 @@
   void OnNextBootReply(jobs::WorkerSession& next,
                        std::span<const jobs::EndRun> ends);
   // Proposes the next boot in place of the boot before.
-  void AdmitNextBoot(const jobs::WorkerSession& next);
+  void AdmitNextBoot(jobs::WorkerInfo next);
   void GiveUpSilentNextBoots();
+  // Forgets those whose boot before is gone, or that are recorded by now.
+  void DropSupersededNextBoots();
   // Whether a later boot than that of the session is being asked what it runs.
   bool IsReplaced(const jobs::WorkerSession& session) const;
   jobs::WorkerSession* FindNextBoot(const SessionId& id);
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -143,14 +143,18 @@
     done(RecordResult::kRecorded);
     return;
   }
+  RecordWorker(std::move(worker));
+  batch_callbacks_.push_back(std::move(done));
+  Flush();
+}
+
+void Leader::RecordWorker(jobs::WorkerInfo worker) {
   Decision("worker")
       .With("worker", worker.boot.id)
       .With("boot", worker.boot.started_ms)
       .With("draining", worker.is_draining)
       .Write();
-  batch_.workers.push_back(worker);
-  batch_callbacks_.push_back(std::move(done));
-  Flush();
+  batch_.workers.push_back(std::move(worker));
 }
 
 void Leader::OnHeard(const jobs::WorkerBoot& worker, int64_t clock_ms) {
@@ -340,15 +344,13 @@
     return record == workers.end() ||
            record->second.info.boot != entry.second.boot();
   });
-  std::erase_if(next_boots_, [&](const auto& entry) {
-    return !sessions_.contains(entry.first);
-  });
   for (const auto& [id, record] : workers) {
     if (!sessions_.contains(id)) {
       OpenSession(record);
       SendPendingCalls(sessions_.at(id));
     }
   }
+  DropSupersededNextBoots();
 }
 
 void Leader::AddDueOccurrences() {
--- a/libs/jobcontrol/src/leader_next_boots.cc
+++ b/libs/jobcontrol/src/leader_next_boots.cc
@@ -57,23 +57,17 @@
                     : EndProof::kReported);
   }
   if (next.RunsNothing()) {
-    AdmitNextBoot(next);
+    AdmitNextBoot(next.info());
   } else {
     SendPendingCalls(next);
   }
   Flush();
 }
 
-void Leader::AdmitNextBoot(const jobs::WorkerSession& next) {
-  const jobs::WorkerInfo info = next.info();
-  next_boots_.erase(info.boot.id);
-  DeclareLost(sessions_.at(info.boot.id), LossProof::kLaterBoot);
-  Decision("worker")
-      .With("worker", info.boot.id)
-      .With("boot", info.boot.started_ms)
-      .With("draining", info.is_draining)
-      .Write();
-  batch_.workers.push_back(info);
+void Leader::AdmitNextBoot(jobs::WorkerInfo next) {
+  next_boots_.erase(next.boot.id);
+  DeclareLost(sessions_.at(next.boot.id), LossProof::kLaterBoot);
+  RecordWorker(std::move(next));
 }
 
 // A next boot that has fallen silent may have been given the longest lease by a
@@ -89,6 +83,14 @@
   });
 }
 
+void Leader::DropSupersededNextBoots() {
+  std::erase_if(next_boots_, [this](const auto& entry) {
+    const auto it = sessions_.find(entry.first);
+    return it == sessions_.end() ||
+           it->second.boot().started_ms >= entry.second.boot().started_ms;
+  });
+}
+
 bool Leader::IsReplaced(const jobs::WorkerSession& session) const {
   const auto it = next_boots_.find(session.boot().id);
   return it != next_boots_.end() && it->second.boot() != session.boot();
--- a/libs/jobcontrol/test/next_boot_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -173,6 +173,24 @@
   EXPECT_GT(next_token_, admitted);
 }
 
+// A batch of an earlier leader may record the next boot meanwhile.
+TEST_F(NextBootTest, OneThatIsRecordedMeanwhileIsNotDeclaredLost) {
+  ASSERT_NO_FATAL_FAILURE(LeaveStartUnanswered());
+  HearNextBoot();
+  jobs::Batch batch;
+  batch.workers = {next_boot_};
+  context_.Record(std::make_shared<const jobs::Batch>(batch),
+                  [](RecordResult) {});
+  context_.Commit();
+  PassTime(milliseconds(1000), jobs::HoldReply{});
+  const auto* record = context_.table().FindWorker(next_boot_.boot.id);
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->info.boot, next_boot_.boot);
+  Submit("k", 8);
+  PassTime(milliseconds(500), jobs::HoldReply{});
+  EXPECT_FALSE(record->runs.empty());
+}
+
 class NewBootLeaseTest : public NextBootTest {
  protected:
   // Has a new boot of the worker "w" run the task of the job "j" after `time`,
