--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -130,6 +130,14 @@
     return;
   }
   if (jobs::WorkerSession* session = FindSession(worker.boot)) {
+    if (session->IsLateHeartbeat(clock_ms)) {
+      Decision("late-heartbeat")
+          .With("worker", worker.boot.id)
+          .With("boot", worker.boot.started_ms)
+          .Write();
+      done(RecordResult::kRecorded);
+      return;
+    }
     session->OnHeartbeat(worker, clock_ms, context_.Now());
   } else {
     DeclareReplacedWorkersLost(worker, clock_ms);
--- a/libs/jobcontrol/test/shrinking_worker_test.cc
+++ b/libs/jobcontrol/test/shrinking_worker_test.cc
@@ -237,5 +237,38 @@
   RC_ASSERT(context_.table().active().empty());
 }
 
+// A control host that had been frozen passed an old heartbeat on, and tasks
+// were started beyond the capacity that the worker had told since.
+TEST_F(ShrinkingWorkerTest, ALateHeartbeatDoesNotBringCapacityBack) {
+  const jobs::WorkerInfo earlier = info_;
+  const int64_t earlier_ms = context_.ClockMs();
+  context_.Advance(milliseconds(1500));
+  SetCapacity(kSmallestCpu);
+  Report();
+  context_.Commit();
+  bool is_acknowledged = false;
+  context_.leader->OnHeartbeat(earlier, earlier_ms,
+                               [&](RecordResult) { is_acknowledged = true; });
+  context_.Commit();
+  EXPECT_TRUE(is_acknowledged);
+  const auto* record = context_.table().FindWorker(info_.boot.id);
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->info.capacity.cpu_milli, kSmallestCpu);
+}
+
+// Another control host may have heard the later one.
+TEST_F(ShrinkingWorkerTest, AHeartbeatIsLateAfterOneThatAnotherHostHasHeard) {
+  jobs::WorkerInfo earlier = info_;
+  earlier.capacity.cpu_milli = kFullCpu / 2;
+  const int64_t earlier_ms = context_.ClockMs();
+  context_.Advance(milliseconds(1500));
+  context_.leader->OnHeard(info_.boot, context_.ClockMs());
+  context_.leader->OnHeartbeat(earlier, earlier_ms, [](RecordResult) {});
+  context_.Commit();
+  const auto* record = context_.table().FindWorker(info_.boot.id);
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->info.capacity.cpu_milli, kFullCpu);
+}
+
 }  // namespace
 }  // namespace sassafras::jobcontrol
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -144,6 +144,11 @@
   const WorkerBoot& boot() const { return info_.boot; }
   const WorkerInfo& info() const { return info_; }
 
+  // Whether a heartbeat that the worker sent later has been heard, so that this
+  // one describes an earlier state. A worker's clock only rises.
+  bool IsLateHeartbeat(int64_t clock_ms) const {
+    return clock_ms < last_heartbeat_ms_;
+  }
   void OnHeartbeat(const WorkerInfo& info, int64_t clock_ms, base::Instant now);
   // The worker sent a heartbeat that changed nothing, some time before `now`.
   void OnHeard(int64_t clock_ms, base::Instant now);
@@ -281,6 +286,7 @@
   bool has_replied_ = false;  // a hold of this term got a reply
   base::Instant last_reply_;
   base::Instant last_heard_;           // last reply or heartbeat
+  int64_t last_heartbeat_ms_ = 0;      // on the worker's clock
   bool has_last_hold_failed_ = false;  // the last hold got no valid reply
   // When the first refused hold since the last sign of life was refused;
   // nullopt if none was refused.
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -70,6 +70,7 @@
     next_hold_ = now;
   }
   last_heard_ = now;
+  last_heartbeat_ms_ = std::max(last_heartbeat_ms_, clock_ms);
   lease_.OnClock(now, clock_ms);
 }
 
