Leader and sessions: one place for what lists prove, no check of what has settled

Found on reading the change once more; no change of behaviour. The proof of an end from a worker's lists stood twice. Each tick computed the end of a lease also for workers that have settled. IsUsable asked for a state that only next boots have, which no plan sees.

--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -213,6 +213,8 @@
   static std::string_view ProofName(EndProof proof);
   static std::string_view ProofName(LossProof proof);
   void AddEnd(jobs::EndRun end, EndProof proof);
+  // Adds an end that the lists of a worker tell or prove.
+  void AddEndFromLists(jobs::EndRun end);
   // Logs that a run is taken for over which its worker hasn't reported as
   // ended.
   void LogGivenUp(const jobs::EndRun& end, std::string_view proof);
--- a/libs/jobcontrol/src/leader_ends.cc
+++ b/libs/jobcontrol/src/leader_ends.cc
@@ -72,6 +72,13 @@
   }
 }
 
+void Leader::AddEndFromLists(jobs::EndRun end) {
+  const EndProof proof = end.outcome == jobs::RunOutcome::kRejected
+                             ? EndProof::kUnlisted
+                             : EndProof::kReported;
+  AddEnd(std::move(end), proof);
+}
+
 void Leader::LogGivenUp(const jobs::EndRun& end, std::string_view proof) {
   Decision line("given-up");
   line.With("task", FormatTaskName(end.task))
--- a/libs/jobcontrol/src/leader_next_boots.cc
+++ b/libs/jobcontrol/src/leader_next_boots.cc
@@ -52,9 +52,7 @@
                              std::span<const jobs::EndRun> ends) {
   for (jobs::EndRun end : ends) {
     end.worker = sessions_.at(next.boot().id).boot();
-    AddEnd(end, end.outcome == jobs::RunOutcome::kRejected
-                    ? EndProof::kUnlisted
-                    : EndProof::kReported);
+    AddEndFromLists(std::move(end));
   }
   if (next.RunsNothing()) {
     AdmitNextBoot(next.info());
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -268,9 +268,7 @@
   NoteBegunJobs(*session);
   if (!outcome.ends.empty()) {
     for (const jobs::EndRun& end : outcome.ends) {
-      AddEnd(end, end.outcome == jobs::RunOutcome::kRejected
-                      ? EndProof::kUnlisted
-                      : EndProof::kReported);
+      AddEndFromLists(end);
     }
     batch_.cursors.push_back({id.boot, outcome.end_cursor});
   }
--- a/libs/jobcontrol/test/next_boot_test.cc
+++ b/libs/jobcontrol/test/next_boot_test.cc
@@ -193,8 +193,8 @@
 
 class NewBootLeaseTest : public NextBootTest {
  protected:
-  // Has a new boot of the worker "w" run the task of the job "j" after `time`,
-  // while "v" has no room.
+  // Has a new boot of the worker "w" run the task of the job "j" after `time`;
+  // then "v" joins.
   void RunTaskAfter(milliseconds time) {
     AddWorker("w");
     Answer(time);
--- a/libs/jobs/include/jobs/lease.h
+++ b/libs/jobs/include/jobs/lease.h
@@ -66,7 +66,8 @@
  private:
   int64_t ClockAt(base::Instant now) const;
 
-  base::Instant responsible_since_;  // of all bounds that are given
+  // Until then, others may have given a lease of up to `inherited_limit_`.
+  base::Instant responsible_since_;
   base::Duration inherited_limit_;
   base::Duration stop_time_;
   std::optional<int64_t> clock_ms_;  // worker's clock at `clock_read_at_`
--- a/libs/jobs/include/jobs/worker_session.h
+++ b/libs/jobs/include/jobs/worker_session.h
@@ -158,7 +158,7 @@
   // when the lease has expired.
   void OnLeave() { is_leaving_ = true; }
 
-  // From now on the worker gets no longer lease and no new work.
+  // From now on the worker gets no longer lease.
   void WithholdLease() { withholds_lease_ = true; }
 
   // This process is known to have led at `at`, and maybe not later; nullopt if
--- a/libs/jobs/src/worker_session.cc
+++ b/libs/jobs/src/worker_session.cc
@@ -273,7 +273,7 @@
 
 bool WorkerSession::IsUsable(base::Instant now) const {
   return has_replied_ && !MayBeLost(now) && now >= unhealthy_until_ &&
-         !info_.is_draining && !is_leaving_ && !withholds_lease_;
+         !info_.is_draining && !is_leaving_;
 }
 
 bool WorkerSession::IsLost(base::Instant now) const {
@@ -294,9 +294,11 @@
 }
 
 bool WorkerSession::HasJustSettled(base::Instant now) {
-  const bool was_settled = is_settled_;
-  is_settled_ |= has_replied_ && lease_.HasInheritanceEnded(now);
-  return is_settled_ && !was_settled;
+  if (is_settled_) {
+    return false;
+  }
+  is_settled_ = has_replied_ && lease_.HasInheritanceEnded(now);
+  return is_settled_;
 }
 
 std::string WorkerSession::CheckpointOf(const TaskKey& task,
--- a/tests/soak/doubled_runs.py
+++ b/tests/soak/doubled_runs.py
@@ -20,9 +20,10 @@
 
 Prints one line for each pair of runs that overlap, or of which the later began
 although the worker had been told to forget that the earlier was done, and a
-summary, and exits 1 if there was any. The stand-ins are those of review/standins; this file adds what a process on
-a network of its own does: several processes of stand-ins, clocks that differ,
-and a kill that takes time. The seed doesn't fix the timing of processes.
+summary, and exits 1 if there was any. The stand-ins are those of
+review/standins; this file adds what a process on a network of its own does:
+several processes of stand-ins, clocks that differ, and a kill that takes time.
+The seed doesn't fix the timing of processes.
 """
 
 import argparse
