--- a/review/standins-3/worker.py
+++ b/review/standins-3/worker.py
@@ -73,7 +73,7 @@
 
     # --- life ---
 
-    def boot(self, new_id=False):
+    def boot(self, new_id=False, first_beat_s=0.0):
         with self.lock:
             if new_id:
                 self.id = "i-%08x" % random.getrandbits(32)
@@ -137,7 +137,7 @@
         self.server = _Server((self.address, 8080), Handler)
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
         threading.Thread(target=self.live, args=(life,), daemon=True).start()
-        threading.Thread(target=self.beat, args=(life,), daemon=True).start()
+        threading.Thread(target=self.beat, args=(life, first_beat_s), daemon=True).start()
 
     def crash(self):
         """Ends at once: nothing runs here any more, and nothing is known."""
@@ -190,7 +190,8 @@
             self.beat_address = None
         return False
 
-    def beat(self, life):
+    def beat(self, life, first_beat_s):
+        time.sleep(first_beat_s)
         while self.life is life:
             self.send_beat()
             time.sleep(self.beat_s if self.known else 0.3)
