--- a/libs/jobcontrol/include/jobcontrol/leader.h
+++ b/libs/jobcontrol/include/jobcontrol/leader.h
@@ -6,6 +6,7 @@
 #define JOBCONTROL_LEADER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "base/time.h"
 #include "consensus/replica.h"
 #include "jobcontrol/leader_metrics.h"
+#include "jobcontrol/table_guard.h"
 #include "jobcontrol/worker_link.h"
 #include "jobs/admission_control.h"
 #include "jobs/advice.h"
@@ -86,6 +88,7 @@
 struct LeaderOptions {
   uint64_t term = 0;
   jobs::SessionOptions session;
+  TableLimits table;
 };
 
 // Not thread-safe; must be used on the control thread. Replies that arrive
@@ -140,16 +143,21 @@
 
   // Returns why a job can't be accepted now. Notes how long it will wait.
   std::optional<Refusal> RefusalOf(const jobs::AddJob& job);
+  std::optional<Refusal> RoomRefusalOf(const jobs::AddJob& job);
   std::optional<Refusal> CapRefusalOf(const jobs::AddJob& job) const;
   std::optional<Refusal> LatenessRefusalOf(const jobs::AddJob& job);
-  // Whether the job is in a batch that isn't recorded yet.
+  // Whether the job is accepted but not recorded yet.
   bool IsBeingRecorded(const wire::JobId& job) const;
+  // Moves submissions to the next batch, as far as it has room.
+  void AddSubmissions();
   void NoteWaits(const jobs::Changes& changes);
+  // Sets the gauges of queues and of the table once a second.
   void ReportQueues();
   // Returns a callback that gets kTaken if another submission was recorded
   // under the job's id first.
   RecordDone CheckOwner(const jobs::AddJob& job, RecordDone done) const;
   static void LogJob(const jobs::JobRecord& job);
+  void LogJobEnd(const wire::JobId& job) const;
   // Sets the gauges of customers once a second.
   void ReportCustomers();
 
@@ -178,6 +186,7 @@
   std::vector<const jobs::WorkerRecord*> RecordsIf(Condition condition) const;
   bool IsAboutToChange(const jobs::WorkerBoot& worker) const;
   void AddDueOccurrences();
+  void ForgetEndedJobs();
   void RemoveLostWorkers();
   void AddSettledWorkers();
   // Why none of a worker's runs can still be running.
@@ -223,7 +232,7 @@
       const jobs::WorkerSession& session) const;
   void WatchSuspect(const jobs::StartRun& start);
   void ProveSuspects();
-  void LogCrashCause(const jobs::TaskKey& task) const;
+  void LogCrashCause(const jobs::CrashCause& cause) const;
   void RequestAdvice(const std::vector<jobs::AdviceRequest>& requests);
   void OnAdvice(const jobs::AssignedQuery& assigned,
                 const std::optional<std::vector<jobs::Permit>>& permits,
@@ -284,6 +293,7 @@
   jobs::ProgressMonitor progress_;
   jobs::SubmissionRates submission_rates_;
   jobs::AdmissionControl admission_;
+  TableGuard table_guard_;
   base::Instant next_customer_report_;
   base::Instant next_queue_report_;
   std::map<wire::WorkerId, jobs::WorkerSession> sessions_;
@@ -296,6 +306,12 @@
   // without an entry are at full pace.
   std::map<std::pair<jobs::TaskKey, uint64_t>, uint32_t> filler_paces_;
 
+  struct Submission {
+    jobs::AddJob job;
+    RecordDone done;
+  };
+  // Accepted, and not in a batch yet.
+  std::deque<Submission> submissions_;
   jobs::Batch batch_;                        // the next batch to record
   std::vector<RecordDone> batch_callbacks_;  // called once `batch_` is recorded
   // The batch in flight, at most one; null if there is none.
--- a/libs/jobcontrol/include/jobcontrol/leader_metrics.h
+++ b/libs/jobcontrol/include/jobcontrol/leader_metrics.h
@@ -29,6 +29,9 @@
   telemetry::Counter& jobs_given_up;
   telemetry::Gauge& workers_usable;
   telemetry::Gauge& jobs_active;
+  telemetry::Gauge& table_bytes;
+  telemetry::Gauge& table_max_bytes;
+  telemetry::Gauge& occurrences_held_back;
   telemetry::Histogram& plan_time;
   telemetry::Histogram& commit_time;
   const std::unique_ptr<CustomerGauges> customers;
--- a/libs/jobcontrol/src/control_node_calls.cc
+++ b/libs/jobcontrol/src/control_node_calls.cc
@@ -127,7 +127,13 @@
 void ControlNode::Impl::Submit(const nlohmann::json& body,
                                const cluster::ReplyDone& done) {
   auto submission = body.get<JobSubmission>();
-  const std::string fault = jobs::FaultOf(submission.job.spec);
+  std::string fault = jobs::FaultOf(submission.job.spec);
+  // A job that was accepted is never called invalid.
+  if (fault.empty() && table_.FindJob(submission.job.id) == nullptr) {
+    const jobs::TableBudget budget(
+        TableLimits::MaxBytesOf(settings_.limits.memory_mb));
+    fault = budget.FaultOf(submission.job.spec);
+  }
   if (!fault.empty()) {
     done(MakeRefusal(fault));
     return;
--- a/libs/jobcontrol/src/control_node_host.cc
+++ b/libs/jobcontrol/src/control_node_host.cc
@@ -143,6 +143,8 @@
   options.session.inherited_lease = options.session.lease;
   options.session.max_lease = settings_.jobs.max_lease;
   options.session.stop_time = settings_.jobs.max_stop;
+  options.table.max_bytes = TableLimits::MaxBytesOf(settings_.limits.memory_mb);
+  options.table.keep_ended = settings_.jobs.keep_ended;
   leader_ = Leader::Create(*this, options, leader_metrics_);
 }
 
--- a/libs/jobcontrol/src/leader.cc
+++ b/libs/jobcontrol/src/leader.cc
@@ -30,7 +30,8 @@
     : context_(context),
       options_(options),
       metrics_(metrics),
-      scheduler_(context.history().speed()) {}
+      scheduler_(context.history().speed()),
+      table_guard_(options.table, metrics) {}
 
 std::shared_ptr<Leader> Leader::Create(LeaderContext& context,
                                        const LeaderOptions& options,
@@ -43,6 +44,8 @@
 // Callers of changes that wait for the batch in flight would otherwise get no
 // answer when the term ends.
 Leader::~Leader() {
+  std::ranges::for_each(submissions_,
+                        [](auto& it) { it.done(RecordResult::kNotRecorded); });
   std::ranges::for_each(batch_callbacks_,
                         [](auto& done) { done(RecordResult::kNotRecorded); });
   metrics_.customers->Clear();
@@ -55,6 +58,7 @@
     AddJob(*job);
   }
   admission_.Assign(context_.table(), context_.history(), now);
+  table_guard_.Begin(context_.table(), now);
   for (const auto& record : context_.table().workers() | std::views::values) {
     OpenSession(record);
   }
@@ -227,6 +231,7 @@
   } else if (!urgent_steps_.empty() || has_freed_room_) {
     PlanUrgentSteps();
   }
+  AddSubmissions();
   AddBegunJobs(now);
   if (batch_.IsEmpty()) {
     return;
@@ -287,6 +292,8 @@
                         const jobs::Batch& batch,
                         std::vector<RecordDone> callbacks) {
   recording_.reset();
+  std::ranges::for_each(batch.jobs,
+                        [this](auto& it) { table_guard_.OnResolved(it); });
   if (result == RecordResult::kRecorded) {
     has_freed_room_ |= !batch.ends.empty();
     std::ranges::for_each(batch.ends,
@@ -339,7 +346,7 @@
                        context_.Now());
   NoteWaits(changes);
   std::ranges::for_each(changes.crash_causes,
-                        [this](auto& task) { LogCrashCause(task); });
+                        [this](auto& it) { LogCrashCause(it); });
   for (const wire::JobId& id : changes.added_jobs) {
     const jobs::JobRecord* job = context_.table().FindJob(id);
     LogJob(*job);
@@ -356,11 +363,8 @@
   std::ranges::for_each(changes.surplus_runs,
                         [this](auto& run) { StopSurplusRun(run); });
   for (const wire::JobId& job : changes.ended_jobs) {
-    const auto phase = context_.table().FindJob(job)->phase;
-    Decision("job-ended")
-        .With("job", job)
-        .With("phase", nlohmann::json(phase).get<std::string>())
-        .Write();
+    LogJobEnd(job);
+    table_guard_.OnJobEnded(job, context_.Now());
     scheduler_.OnJobEnded(job);
     progress_.OnJobEnded(job);
     advice_.ForgetJob(job);
@@ -370,6 +374,15 @@
       static_cast<double>(context_.table().active().size()));
 }
 
+void Leader::LogJobEnd(const wire::JobId& job) const {
+  Decision line("job-ended");
+  line.With("job", job);
+  if (const jobs::JobRecord* record = context_.table().FindJob(job)) {
+    line.With("phase", nlohmann::json(record->phase).get<std::string>());
+  }
+  line.Write();
+}
+
 // Makes `sessions_` match the recorded worker boots.
 void Leader::SyncSessions() {
   const auto& workers = context_.table().workers();
@@ -392,6 +405,7 @@
   AddSettledWorkers();
   ProveSuspects();
   AddDueOccurrences();
+  ForgetEndedJobs();
   StartCallRound();
   CallNextBoots();
   ReportCustomers();
--- a/libs/jobcontrol/src/leader_admission.cc
+++ b/libs/jobcontrol/src/leader_admission.cc
@@ -13,6 +13,8 @@
 using telemetry::Decision;
 
 constexpr auto kQueueReportPeriod = std::chrono::seconds(1);
+// Of the jobs in a batch, by their size in the table.
+constexpr size_t kMaxBatchBytes = size_t{1} * 1024 * 1024;
 
 }  // namespace
 
@@ -34,27 +36,52 @@
       return refusal;
     }
   }
-  batch_.jobs.push_back(std::move(job));
-  batch_callbacks_.push_back(std::move(done));
+  table_guard_.OnAccepted(job);
+  submissions_.push_back({std::move(job), std::move(done)});
   Flush();
   return std::nullopt;
 }
 
+// The encoding of a batch takes several times its size, so a crowd of large
+// jobs is recorded in several.
+void Leader::AddSubmissions() {
+  size_t bytes = 0;
+  while (!submissions_.empty() && bytes < kMaxBatchBytes) {
+    Submission& next = submissions_.front();
+    bytes += jobs::SizeWithOccurrence(next.job.spec);
+    batch_.jobs.push_back(std::move(next.job));
+    batch_callbacks_.push_back(std::move(next.done));
+    submissions_.pop_front();
+  }
+}
+
 bool Leader::IsBeingRecorded(const wire::JobId& job) const {
   const auto contains = [&](const jobs::Batch& batch) {
     return std::ranges::find(batch.jobs, job, &jobs::AddJob::id) !=
            batch.jobs.end();
   };
-  return contains(batch_) || (recording_ && contains(*recording_));
+  const bool is_queued = std::ranges::any_of(
+      submissions_, [&](const Submission& it) { return it.job.id == job; });
+  return is_queued || contains(batch_) || (recording_ && contains(*recording_));
 }
 
 std::optional<Refusal> Leader::RefusalOf(const jobs::AddJob& job) {
   if (auto refusal = CapRefusalOf(job)) {
     return refusal;
   }
+  if (auto refusal = RoomRefusalOf(job)) {
+    return refusal;
+  }
   return LatenessRefusalOf(job);
 }
 
+std::optional<Refusal> Leader::RoomRefusalOf(const jobs::AddJob& job) {
+  const auto retry_after =
+      table_guard_.RetryAfter(context_.table(), job, context_.Now());
+  return retry_after ? std::optional(Refusal{"table-full", *retry_after})
+                     : std::nullopt;
+}
+
 std::optional<Refusal> Leader::LatenessRefusalOf(const jobs::AddJob& job) {
   const base::Instant now = context_.Now();
   const auto verdict = admission_.Judge(context_.table(), job, now);
@@ -95,6 +122,7 @@
   if (now >= next_queue_report_) {
     next_queue_report_ = now + kQueueReportPeriod;
     metrics_.queues->Report();
+    table_guard_.Report(context_.table(), now);
   }
 }
 
--- a/libs/jobcontrol/src/leader_losses.cc
+++ b/libs/jobcontrol/src/leader_losses.cc
@@ -216,16 +216,10 @@
   });
 }
 
-void Leader::LogCrashCause(const jobs::TaskKey& task) const {
-  const jobs::JobRecord* job = context_.table().FindJob(task.step.job);
-  const jobs::TaskRecord* record =
-      job == nullptr ? nullptr : job->FindTask(task);
-  if (record == nullptr) {
-    return;
-  }
+void Leader::LogCrashCause(const jobs::CrashCause& cause) const {
   Decision("crash-cause")
-      .With("task", FormatTaskName(task))
-      .With("crashes", FormatCrashes(record->crashes))
+      .With("task", FormatTaskName(cause.task))
+      .With("crashes", FormatCrashes(cause.crashes))
       .Write();
   metrics_.jobs_given_up.Add();
 }
--- a/libs/jobcontrol/src/leader_metrics.cc
+++ b/libs/jobcontrol/src/leader_metrics.cc
@@ -42,6 +42,16 @@
                                       "Workers that accept new task runs.")),
       jobs_active(metrics.GetGauge("sassafras_jobs_active",
                                    "Jobs that have not ended.")),
+      table_bytes(metrics.GetGauge(
+          "sassafras_job_table_bytes",
+          "Memory that jobs take by what was asked for, estimated.")),
+      table_max_bytes(
+          metrics.GetGauge("sassafras_job_table_max_bytes",
+                           "What sassafras_job_table_bytes may reach.")),
+      occurrences_held_back(metrics.GetGauge(
+          "sassafras_occurrences_held_back",
+          "Recurring jobs of which a due occurrence waits for earlier ones or "
+          "for room in the table.")),
       plan_time(metrics.GetHistogram(
           "sassafras_plan_seconds",
           "Time that the control thread spent on one plan.")),
--- a/libs/jobcontrol/src/leader_orders.cc
+++ b/libs/jobcontrol/src/leader_orders.cc
@@ -35,16 +35,16 @@
 void Leader::Dispatch(const jobs::StartRun& start) {
   jobs::WorkerSession* session = FindSession(start.worker);
   const jobs::JobRecord* job = context_.table().FindJob(start.task.step.job);
-  if (session == nullptr || job == nullptr) {
+  const jobs::StepRecord* step = context_.table().FindStep(start.task.step);
+  // A later record of the same turn may have ended the job or the run.
+  if (session == nullptr || job == nullptr || step == nullptr) {
     return;
   }
   const jobs::StepSpec& spec = job->spec.steps[start.task.step.step];
-  const auto& step =
-      job->occurrences.at(start.task.step.occurrence)[start.task.step.step];
   jobs::StartOrder order{start.task, start.run, job->spec.payload};
   if (spec.has_checkpoints) {
-    order.checkpoint = spec.is_gang ? step.checkpoint
-                                    : step.tasks[start.task.index].checkpoint;
+    order.checkpoint = spec.is_gang ? step->checkpoint
+                                    : step->tasks[start.task.index].checkpoint;
   }
   const std::string* ticket =
       advice_.Ticket(start.task.step, start.worker, context_.Now());
@@ -71,7 +71,8 @@
 }
 
 void Leader::StopRunsOf(const wire::JobId& job) {
-  if (!context_.table().FindJob(job)->HasOpenRuns()) {
+  const jobs::JobRecord* ended = context_.table().FindJob(job);
+  if (ended == nullptr || !ended->HasOpenRuns()) {
     return;
   }
   for (const auto& record : context_.table().workers() | std::views::values) {
--- a/libs/jobcontrol/src/leader_plans.cc
+++ b/libs/jobcontrol/src/leader_plans.cc
@@ -137,18 +137,16 @@
 }
 
 void Leader::AddDueOccurrences() {
-  const base::WallMs wall = context_.WallNow();
-  for (const auto* record : context_.table().active() | std::views::values) {
-    const jobs::JobRecord& job = *record;
-    const uint64_t next =
-        job.occurrences.empty() ? 0 : job.occurrences.rbegin()->first + 1;
-    const bool is_due =
-        job.spec.IsRecurring() && next < job.spec.occurrences &&
-        wall >= job.spec.first_due_ms +
-                    static_cast<int64_t>(next) * job.spec.interval_ms;
-    if (is_due && !recording_) {
-      batch_.occurrences.push_back({job.id, next});
-    }
+  if (!recording_) {
+    batch_.occurrences = table_guard_.DueOccurrences(
+        context_.table(), context_.WallNow(), context_.Now());
+  }
+}
+
+void Leader::ForgetEndedJobs() {
+  if (!recording_) {
+    batch_.forgotten =
+        table_guard_.JobsToForget(context_.table(), context_.Now());
   }
 }
 
--- a/libs/jobcontrol/test/leader_fixture.h
+++ b/libs/jobcontrol/test/leader_fixture.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -86,7 +87,7 @@
   }
   bool MayStartCopies() const override { return may_start_copies; }
   base::Instant Now() const override { return now_; }
-  base::WallMs WallNow() const override { return 0; }
+  base::WallMs WallNow() const override { return wall_ms; }
 
   void Order(const jobs::WorkerInfo& worker,
              const jobs::OrderCall& call,
@@ -122,6 +123,10 @@
   }
   void Apply(const jobs::Batch& batch) {
     const jobs::Changes changes = table_.Apply(batch);
+    for (const jobs::StartRun& start : changes.started) {
+      uint64_t& last = last_runs_[start.task];
+      last = std::max(last, start.run);
+    }
     history_.OnApplied(changes, table_, now_);
     leader->OnApplied(changes);
   }
@@ -133,10 +138,15 @@
   }
   size_t waiting() const { return waiting_.size(); }
 
-  // Returns the number of the last run of the task that was recorded or is
-  // waiting to be.
+  // Returns the number of the last run of the task that was recorded, also once
+  // the table has released the task; 0 if there was none.
+  uint64_t LastStartedRun(const jobs::TaskKey& task) const {
+    const auto it = last_runs_.find(task);
+    return it == last_runs_.end() ? 0 : it->second;
+  }
+  // The same, or of a run that is waiting to be recorded.
   uint64_t LastProposedRun(const jobs::TaskKey& task) const {
-    uint64_t last = table_.FindJob(task.step.job)->FindTask(task)->run;
+    uint64_t last = LastStartedRun(task);
     for (const auto& entry : waiting_) {
       for (const jobs::StartRun& start : entry.first->starts) {
         last = start.task == task ? std::max(last, start.run) : last;
@@ -174,6 +184,7 @@
   // The last time at which the leader is known to have led; now if unset.
   std::optional<base::Instant> leads_at;
   bool may_start_copies = true;
+  base::WallMs wall_ms = 0;
   std::vector<SentOrder> orders;
   std::vector<SentHold> holds;
   std::vector<SentQuery> queries;
@@ -185,6 +196,7 @@
  private:
   jobs::JobTable table_;
   jobs::ReplicaHistory history_;
+  std::map<jobs::TaskKey, uint64_t> last_runs_;
   std::deque<std::pair<std::shared_ptr<const jobs::Batch>, RecordDone>>
       waiting_;
   std::vector<std::function<void()>> deferred_;
@@ -198,8 +210,8 @@
   void Elect(uint64_t term) {
     context_.holds.clear();
     context_.orders.clear();
-    context_.leader =
-        Leader::Create(context_, {term, session_options_}, metrics_);
+    context_.leader = Leader::Create(
+        context_, {term, session_options_, table_limits_}, metrics_);
   }
 
   jobs::WorkerInfo Worker(const std::string& id) const {
@@ -249,7 +261,9 @@
 
   std::unique_ptr<telemetry::Metrics> registry_ = telemetry::Metrics::Create();
   LeaderMetrics metrics_;
-  jobs::SessionOptions session_options_;  // of leaders that are elected later
+  // Of leaders that are elected later.
+  jobs::SessionOptions session_options_;
+  TableLimits table_limits_;
   FakeLeaderContext context_;
   RecordResult submitted_ = RecordResult::kNotRecorded;
 };
--- a/libs/jobcontrol/test/lost_worker_test.cc
+++ b/libs/jobcontrol/test/lost_worker_test.cc
@@ -184,6 +184,9 @@
   const jobs::TaskRecord& TaskAt(uint32_t step) const {
     return *Job().FindTask({Step(step), 0});
   }
+  uint64_t LastRun(uint32_t step) const {
+    return context_.LastStartedRun({Step(step), 0});
+  }
   bool IsRunning(uint32_t step) const {
     return lost_.IsRunning(Step(step)) || other_.IsRunning(Step(step));
   }
@@ -304,7 +307,7 @@
   scenario.Settle();
   RC_ASSERT(scenario.TaskAt(0).is_done);
   RC_ASSERT(scenario.last_run_at_report().has_value());
-  RC_ASSERT(scenario.TaskAt(0).run == *scenario.last_run_at_report());
+  RC_ASSERT(scenario.LastRun(0) == *scenario.last_run_at_report());
   RC_ASSERT(!scenario.has_forgotten_report());
   RC_ASSERT(!scenario.IsRunning(0));
   RC_ASSERT(scenario.TaskAt(1).is_open);
@@ -321,7 +324,7 @@
   scenario.Settle();
   RC_ASSERT(!scenario.TaskAt(0).is_done);
   RC_ASSERT(scenario.TaskAt(0).is_open);
-  RC_ASSERT(scenario.TaskAt(0).run >= 2U);
+  RC_ASSERT(scenario.LastRun(0) >= 2U);
   RC_ASSERT(scenario.IsRunning(0));
   RC_ASSERT(!scenario.HasUnacknowledgedEnds());
 }
@@ -346,14 +349,14 @@
   Handle({Event::kManifest, Event::kTick, Event::kLostHoldReplies,
           Event::kCommit, Event::kCommit, Event::kCommit});
   EXPECT_TRUE(scenario_.TaskAt(0).is_done);
-  EXPECT_EQ(scenario_.TaskAt(0).run, 1U);
+  EXPECT_EQ(scenario_.LastRun(0), 1U);
 }
 
 TEST_P(LostWorkerTest, AReportWhileTheLossIsRecordedCounts) {
   Handle(
       {Event::kTick, Event::kLostHoldReplies, Event::kCommit, Event::kCommit});
   EXPECT_TRUE(scenario_.TaskAt(0).is_done);
-  EXPECT_EQ(scenario_.TaskAt(0).run, 1U);
+  EXPECT_EQ(scenario_.LastRun(0), 1U);
 }
 
 // The reply took its time, for instance on its way through a relay. The worker
@@ -371,7 +374,7 @@
   Handle({Event::kTick, Event::kCommit, Event::kCommit, Event::kOtherReplies});
   scenario_.FailLostHolds();
   ASSERT_TRUE(scenario_.IsRunning(0));
-  ASSERT_EQ(scenario_.TaskAt(0).run, 2U);
+  ASSERT_EQ(scenario_.LastRun(0), 2U);
   scenario_.Settle();
   EXPECT_TRUE(scenario_.TaskAt(0).is_done);
   EXPECT_FALSE(scenario_.IsRunning(0));
@@ -383,7 +386,7 @@
   Handle({Event::kTick, Event::kCommit, Event::kCommit});
   EXPECT_FALSE(scenario_.IsRecorded("1"));
   EXPECT_TRUE(scenario_.TaskAt(0).is_open);
-  EXPECT_EQ(scenario_.TaskAt(0).run, 2U);
+  EXPECT_EQ(scenario_.LastRun(0), 2U);
 }
 
 // The orders in which the report reaches the leader before it plans a restart.
--- a/libs/jobs/include/jobs/job_records.h
+++ b/libs/jobs/include/jobs/job_records.h
@@ -4,7 +4,6 @@
 #ifndef JOBS_JOB_RECORDS_H_
 #define JOBS_JOB_RECORDS_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -13,47 +12,13 @@
 
 #include <nlohmann/json.hpp>
 
-#include "jobs/crash.h"
+#include "jobs/task_set.h"
 #include "jobs/types.h"
 
 namespace sassafras::jobs {
 
-struct TaskRecord {
-  uint64_t run = 0;  // number of the last run started; numbers only increase
-  bool is_done = false;
-  bool is_open = false;  // `run` may still occupy a worker
-  uint32_t failures = 0;
-  std::string checkpoint;  // unused for gangs; see StepRecord::checkpoint
-  // The end of `run` was presumed and may yet be reported.
-  bool is_end_presumed = false;
-  Crashes crashes;
-  // The last copy, a run that was started beside `run`, if it is higher; 0 if
-  // there was none. While the copy is open, `run` is open too. When `run` ends
-  // first without being done, the copy takes its place.
-  uint64_t copy = 0;
-  bool is_copy_open = false;
-
-  // Returns the number of the next run.
-  uint64_t NextRun() const { return std::max(run, copy) + 1; }
-  // Whether a copy of `run` may be started: one for each run, and none of a
-  // copy.
-  bool MayHaveCopy(const StepSpec& spec) const {
-    return spec.may_run_copies && !spec.is_gang && is_open && copy < run;
-  }
-};
-WIRE_DEFINE_ARRAY(TaskRecord,
-                  run,
-                  is_done,
-                  is_open,
-                  failures,
-                  checkpoint,
-                  is_end_presumed,
-                  crashes,
-                  copy,
-                  is_copy_open)
-
 struct StepRecord {
-  std::vector<TaskRecord> tasks;
+  TaskSet tasks;
   uint32_t done = 0;
   uint32_t open = 0;         // number of tasks with an open run
   uint32_t failed_runs = 0;  // failed runs of a gang; 0 for other steps
@@ -98,12 +63,18 @@
   // A worker has shown that it began a run of any task. That a start was
   // recorded isn't enough: it may not have reached the worker.
   bool has_started = false;
-  // Occurrences that have begun.
+  // Occurrences that have begun and aren't over: tasks aren't done, or have
+  // open runs. The job has none once it has ended and its last run is over;
+  // from then on, `spec` is empty, too.
   std::map<uint64_t, std::vector<StepRecord>> occurrences;
   uint64_t finished_occurrences = 0;
   CustomerId customer;  // empty if it was submitted without a key
   // Beyond the jobs a second that its customer's weight allows.
   bool is_excess = false;
+  // All occurrences below this have begun.
+  uint64_t next_occurrence = 0;
+  // What the job counts for in the size of the table, in bytes. Not recorded.
+  size_t counted_bytes = 0;
 
   const TaskRecord* FindTask(const TaskKey& key) const;
   bool HasOpenRuns() const;
@@ -118,7 +89,8 @@
                                                 occurrences,
                                                 finished_occurrences,
                                                 customer,
-                                                is_excess)
+                                                is_excess,
+                                                next_occurrence)
 
 // A run that may be on a worker.
 struct OpenRun {
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -22,6 +22,7 @@
 #include "jobs/job_records.h"
 #include "jobs/manifest.h"
 #include "jobs/manifest_index.h"
+#include "jobs/table_size.h"
 #include "jobs/types.h"
 
 namespace sassafras::jobs {
@@ -145,6 +146,12 @@
   bool is_last_of_step = false;
 };
 
+// A task whose job was given up because it crashes its workers.
+struct CrashCause {
+  TaskKey task;
+  Crashes crashes;  // the table may no longer have them
+};
+
 // Effects of a batch, as the leader needs them.
 struct Changes {
   std::vector<StartRun> started;  // starts that were applied
@@ -154,8 +161,7 @@
   std::vector<StartRun> surplus_runs;
   // Workers that describe themselves differently than before.
   std::vector<WorkerBoot> changed_workers;
-  // Tasks whose job was given up because they crash their workers.
-  std::vector<TaskKey> crash_causes;
+  std::vector<CrashCause> crash_causes;
   std::vector<DoneRun> done_runs;
   // Steps of which other tasks wait than before. A step may be named twice.
   std::vector<StepKey> changed_steps;
@@ -224,11 +230,17 @@
   // Changes whenever a worker process is added or removed. Pointers to worker
   // records stay valid as long as it doesn't.
   uint64_t worker_set_version() const { return worker_set_version_; }
+  // What the jobs take of this host's memory by what was asked for.
+  const OwnerSizes& sizes() const { return sizes_; }
+  // Returns the bytes that jobs of this table have released so far.
+  uint64_t released_bytes() const { return released_bytes_; }
   // Returns the number of active jobs in the queue of which no worker has shown
   // that it began a task.
   uint64_t CountWaitingJobs(const QueueId& queue) const;
 
  private:
+  // Takes over a job of a snapshot.
+  void Restore(JobRecord& job);
   void Put(const Manifest& manifest);
   void Keep(const Queue& queue);
   void RememberQueuesAndCustomers();
@@ -257,6 +269,10 @@
                        bool was_open);
   void RecordEnd(JobRecord& job, const EndRun& end, bool was_open);
   void CountEnd(JobRecord& job, StepRecord& step, const EndRun& end);
+  void RecordEndOfTask(JobRecord& job,
+                       StepRecord& step,
+                       const EndRun& end,
+                       bool was_open);
   static void TakeBackCrash(TaskRecord& task, const EndRun& report);
   void CountCrash(JobRecord& job, TaskRecord& task, const EndRun& end);
   void AddSurplusRuns(const EndRun& done);
@@ -268,6 +284,13 @@
   void FinishStep(JobRecord& job, uint64_t occurrence);
   void EndJob(JobRecord& job, JobPhase phase);
   void AddOccurrence(JobRecord& job, uint64_t occurrence);
+  // Releases an occurrence of an active job if it is over.
+  void ReleaseOccurrence(JobRecord& job, uint64_t occurrence);
+  // Releases what nobody needs of a job that has ended.
+  void ReleaseEnded(JobRecord& job);
+  // Counts the job again in the size of the table.
+  void CountSize(JobRecord& job);
+  void RemoveSize(JobRecord& job);
   StepRecord* FindStep(const StepKey& key);
   uint32_t MaxAttempts(const JobRecord& job) const;
 
@@ -282,6 +305,8 @@
   std::map<CustomerId, Customer> customers_;
   std::map<wire::JobId, JobRecord> jobs_;
   std::map<wire::WorkerId, WorkerRecord> workers_;
+  OwnerSizes sizes_;  // of `jobs_`
+  uint64_t released_bytes_ = 0;
   CustomerLoads customer_loads_;  // of all runs of `workers_`
   uint64_t worker_set_version_ = 0;
   uint64_t last_order_ = 0;
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -12,11 +12,11 @@
 namespace sassafras::jobs {
 namespace {
 
-// The persisted parts of a table, from which the rest is derived.
+// The persisted parts of a table, from which the rest is derived, but for the
+// jobs.
 struct TableSnapshot {
   Manifest manifest;
   std::vector<Queue> queues;
-  std::vector<JobRecord> jobs;
   std::vector<WorkerRecord> workers;
   uint64_t last_order = 0;
   std::vector<Customer> customers;
@@ -24,11 +24,34 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TableSnapshot,
                                                 manifest,
                                                 queues,
-                                                jobs,
                                                 workers,
                                                 last_order,
                                                 customers)
 
+constexpr const char* kJobsField = "jobs";
+
+// Each job is encoded by itself, as a generic value takes several times the
+// memory of a job or of its encoding.
+nlohmann::json EncodeJobs(const std::map<wire::JobId, JobRecord>& jobs) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const JobRecord& job : jobs | std::views::values) {
+    const std::string bytes = wire::EncodeCbor(job);
+    list.push_back(nlohmann::json::binary({bytes.begin(), bytes.end()}));
+  }
+  return list;
+}
+
+// Earlier versions wrote jobs as values.
+std::optional<JobRecord> DecodeJob(const nlohmann::json& value,
+                                   wire::CodecReason& why) {
+  if (!value.is_binary()) {
+    return wire::FromValue<JobRecord>(value, why);
+  }
+  const auto& bytes = value.get_binary();
+  return wire::DecodeCbor<JobRecord>(
+      {reinterpret_cast<const char*>(bytes.data()), bytes.size()}, why);
+}
+
 template <typename Map>
 auto ValuesOf(const Map& map) {
   using Value = typename Map::mapped_type;
@@ -39,12 +62,29 @@
 void CountSurplus(JobRecord& job) {
   for (auto& steps : job.occurrences | std::views::values) {
     for (StepRecord& step : steps) {
-      step.surplus = static_cast<uint32_t>(std::ranges::count_if(
-          step.tasks, [](auto& it) { return it.is_done && it.is_open; }));
+      step.surplus = step.tasks.CountSurplus();
     }
   }
 }
 
+// An earlier version kept all occurrences that have begun, and no other note of
+// them.
+void CountBegunOccurrences(JobRecord& job) {
+  if (!job.occurrences.empty()) {
+    job.next_occurrence =
+        std::max(job.next_occurrence, job.occurrences.rbegin()->first + 1);
+  }
+}
+
+bool HasOpenRuns(const std::vector<StepRecord>& steps) {
+  return std::ranges::any_of(steps, [](auto& it) { return it.open > 0; });
+}
+
+bool IsOver(const std::vector<StepRecord>& steps) {
+  return !HasOpenRuns(steps) &&
+         std::ranges::all_of(steps, [](auto& it) { return it.IsDone(); });
+}
+
 }  // namespace
 
 bool IsStepReady(const JobSpec& spec,
@@ -66,7 +106,7 @@
 
 bool JobRecord::HasOpenRuns() const {
   return std::ranges::any_of(occurrences | std::views::values, [](auto& steps) {
-    return std::ranges::any_of(steps, [](auto& it) { return it.open > 0; });
+    return jobs::HasOpenRuns(steps);
   });
 }
 
@@ -146,15 +186,23 @@
 }
 
 std::string JobTable::Snapshot() const {
-  return wire::EncodeCbor(TableSnapshot{manifest_, ValuesOf(queues_),
-                                        ValuesOf(jobs_), ValuesOf(workers_),
-                                        last_order_, ValuesOf(customers_)});
+  nlohmann::json value =
+      TableSnapshot{manifest_, ValuesOf(queues_), ValuesOf(workers_),
+                    last_order_, ValuesOf(customers_)};
+  value[kJobsField] = EncodeJobs(jobs_);
+  return wire::ToCborBytes(value);
 }
 
 std::optional<JobTable> JobTable::FromSnapshot(std::string_view bytes,
                                                TableReason& why) {
   wire::CodecReason codec_why;
-  auto snapshot = wire::DecodeCbor<TableSnapshot>(bytes, codec_why);
+  auto value = wire::ParseCbor(bytes, codec_why);
+  nlohmann::json jobs;
+  if (value && value->is_object()) {
+    jobs = std::exchange((*value)[kJobsField], {});
+  }
+  auto snapshot =
+      value ? wire::FromValue<TableSnapshot>(*value, codec_why) : std::nullopt;
   if (!snapshot) {
     why.Set(TableError::kBadSnapshot, codec_why.message);
     return std::nullopt;
@@ -176,16 +224,32 @@
     });
     table.workers_.emplace(worker.info.boot.id, worker);
   }
-  for (auto& job : snapshot->jobs) {
-    const auto it = table.jobs_.emplace(job.id, std::move(job)).first;
-    CountSurplus(it->second);
-    if (it->second.phase == JobPhase::kActive) {
-      table.active_.emplace(it->second.order, &it->second);
+  for (nlohmann::json& it : jobs) {
+    auto job = DecodeJob(std::exchange(it, {}), codec_why);
+    if (!job) {
+      why.Set(TableError::kBadSnapshot, codec_why.message);
+      return std::nullopt;
     }
+    const wire::JobId id = job->id;
+    table.Restore(table.jobs_.emplace(id, *std::move(job)).first->second);
   }
   return table;
 }
 
+// What an earlier version has kept of jobs and occurrences that are over goes.
+void JobTable::Restore(JobRecord& job) {
+  CountSurplus(job);
+  CountBegunOccurrences(job);
+  if (job.phase != JobPhase::kActive) {
+    ReleaseEnded(job);
+    return;
+  }
+  active_.emplace(job.order, &job);
+  std::erase_if(job.occurrences,
+                [](auto& entry) { return IsOver(entry.second); });
+  CountSize(job);
+}
+
 const JobRecord* JobTable::FindJob(const wire::JobId& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
@@ -217,6 +281,7 @@
   const auto it = jobs_.find(id);
   if (it != jobs_.end()) {
     EndJob(it->second, JobPhase::kCancelled);
+    ReleaseEnded(it->second);
   }
 }
 
@@ -236,6 +301,7 @@
   if (!job.spec.IsRecurring()) {
     AddOccurrence(job, 0);
   }
+  CountSize(job);
 }
 
 void JobTable::Begin(const BeginOccurrence& begin) {
@@ -243,16 +309,18 @@
   if (it != jobs_.end() && it->second.phase == JobPhase::kActive &&
       begin.occurrence < it->second.spec.OccurrenceCount()) {
     AddOccurrence(it->second, begin.occurrence);
+    CountSize(it->second);
   }
 }
 
 void JobTable::AddOccurrence(JobRecord& job, uint64_t occurrence) {
-  const auto [it, is_new] = job.occurrences.try_emplace(occurrence);
-  if (!is_new) {
+  if (occurrence < job.next_occurrence) {
     return;
   }
+  job.next_occurrence = occurrence + 1;
+  std::vector<StepRecord>& steps = job.occurrences[occurrence];
   for (const StepSpec& spec : job.spec.steps) {
-    it->second.emplace_back().tasks.resize(spec.count);
+    steps.emplace_back().tasks = TaskSet(spec.count);
   }
   changes_.changed_steps.push_back({job.id, occurrence, 0});
   if (job.spec.IsRecurring()) {
@@ -271,20 +339,21 @@
   }
   const JobSpec& spec = job->second.spec;
   const uint32_t position = start.task.step.step;
-  TaskRecord& task = step->tasks[start.task.index];
+  const TaskRecord& before = step->tasks[start.task.index];
   const StepSpec& step_spec = spec.steps[position];
   // A worker runs a task once at a time.
   const bool may_start =
       start.is_copy
-          ? task.MayHaveCopy(step_spec) &&
+          ? before.MayHaveCopy(step_spec) &&
                 std::ranges::find(worker->second.runs, start.task,
                                   &OpenRun::task) == worker->second.runs.end()
-          : !task.is_open;
-  if (task.is_done || !may_start || start.run < task.NextRun() ||
+          : !before.is_open;
+  if (before.is_done || !may_start || start.run < before.NextRun() ||
       !IsStepReady(spec, job->second.occurrences.at(start.task.step.occurrence),
                    position)) {
     return false;
   }
+  TaskRecord& task = step->tasks.Change(start.task.index);
   if (start.is_copy) {
     task.copy = start.run;
     task.is_copy_open = true;
@@ -305,6 +374,36 @@
   return true;
 }
 
+void JobTable::ReleaseOccurrence(JobRecord& job, uint64_t occurrence) {
+  const auto it = job.occurrences.find(occurrence);
+  if (it != job.occurrences.end() && IsOver(it->second)) {
+    job.occurrences.erase(it);
+    CountSize(job);
+  }
+}
+
+void JobTable::ReleaseEnded(JobRecord& job) {
+  std::erase_if(job.occurrences,
+                [](auto& entry) { return !HasOpenRuns(entry.second); });
+  if (job.occurrences.empty()) {
+    job.spec = {};
+  }
+  CountSize(job);
+}
+
+void JobTable::CountSize(JobRecord& job) {
+  const size_t before = job.counted_bytes;
+  RemoveSize(job);
+  job.counted_bytes = SizeOf(job);
+  sizes_.Add(JobOwner::Of(job.customer, job.queue), job.counted_bytes);
+  released_bytes_ += before - std::min(before, job.counted_bytes);
+}
+
+void JobTable::RemoveSize(JobRecord& job) {
+  sizes_.Remove(JobOwner::Of(job.customer, job.queue),
+                std::exchange(job.counted_bytes, 0));
+}
+
 void JobTable::MarkBegun(const wire::JobId& id) {
   const auto it = jobs_.find(id);
   if (it != jobs_.end()) {
@@ -315,6 +414,8 @@
 void JobTable::Forget(const wire::JobId& id) {
   const auto it = jobs_.find(id);
   if (it != jobs_.end() && it->second.phase != JobPhase::kActive) {
+    released_bytes_ += it->second.counted_bytes;
+    RemoveSize(it->second);
     jobs_.erase(it);
   }
 }
--- a/libs/jobs/src/job_table_ends.cc
+++ b/libs/jobs/src/job_table_ends.cc
@@ -25,6 +25,11 @@
     RecordEnd(job->second, end, was_open);
     changes_.changed_steps.push_back(end.task.step);
   }
+  if (job->second.phase == JobPhase::kActive) {
+    ReleaseOccurrence(job->second, end.task.step.occurrence);
+  } else {
+    ReleaseEnded(job->second);
+  }
 }
 
 // Removes the run from its worker. Returns whether it was open there.
@@ -48,20 +53,28 @@
 
 void JobTable::RecordEnd(JobRecord& job, const EndRun& end, bool was_open) {
   StepRecord* step = FindStep(end.task.step);
-  if (step == nullptr || end.task.index >= step->tasks.size()) {
-    return;
+  if (step != nullptr && end.task.index < step->tasks.size()) {
+    RecordEndOfTask(job, *step, end, was_open);
+    step->tasks.Settle(end.task.index);
   }
-  TaskRecord& task = step->tasks[end.task.index];
+}
+
+// Counting an end may release the record of the task.
+void JobTable::RecordEndOfTask(JobRecord& job,
+                               StepRecord& step,
+                               const EndRun& end,
+                               bool was_open) {
+  TaskRecord& task = step.tasks.Change(end.task.index);
   if (!end.is_presumed) {
     TakeBackCrash(task, end);
   }
   const bool is_copy = end.run == task.copy && end.run != task.run;
   if (is_copy || (end.run == task.run && was_open && task.is_copy_open)) {
-    RecordEndOfPair(job, *step, end, was_open);
+    RecordEndOfPair(job, step, end, was_open);
     return;
   }
   if (end.run < task.run && end.outcome == RunOutcome::kDone) {
-    CountEnd(job, *step, end);
+    CountEnd(job, step, end);
     AddSurplusRuns(end);
     return;
   }
@@ -71,14 +84,14 @@
   }
   if (was_open) {
     task.is_open = false;
-    --step->open;
-    step->surplus -= task.is_done ? 1 : 0;
+    --step.open;
+    step.surplus -= task.is_done ? 1 : 0;
   }
   task.is_end_presumed = end.is_presumed;
   if (end.is_presumed && end.crash_role != CrashRole::kNone) {
     CountCrash(job, task, end);
   }
-  CountEnd(job, *step, end);
+  CountEnd(job, step, end);
 }
 
 // A copy that fails counts against the job's attempts only once it has taken
@@ -87,7 +100,7 @@
                                StepRecord& step,
                                const EndRun& end,
                                bool was_open) {
-  TaskRecord& task = step.tasks[end.task.index];
+  TaskRecord& task = step.tasks.Change(end.task.index);
   const bool is_copy = end.run != task.run;
   if (was_open) {
     task.is_copy_open = false;
@@ -120,7 +133,7 @@
       {end.worker, end.run, end.crash_role, end.crashed_at_ms});
   if (job.phase == JobPhase::kActive &&
       IsCrashCause(task.crashes, MaxAttempts(job))) {
-    changes_.crash_causes.push_back(end.task);
+    changes_.crash_causes.push_back({end.task, task.crashes});
     EndJob(job, JobPhase::kFailed);
   }
 }
@@ -130,9 +143,9 @@
   if (step == nullptr || proven.task.index >= step->tasks.size()) {
     return;
   }
-  TaskRecord& task = step->tasks[proven.task.index];
+  const TaskRecord& task = step->tasks[proven.task.index];
   if (task.run == proven.run && task.is_open) {
-    task.crashes.clear();
+    step->tasks.Change(proven.task.index).crashes.clear();
   }
 }
 
@@ -171,8 +184,8 @@
     step.checkpoint = end.checkpoint;
   }
   if (end.outcome == RunOutcome::kDone) {
-    std::ranges::for_each(step.tasks, [](auto& it) { it.is_done = true; });
-    step.done = static_cast<uint32_t>(step.tasks.size());
+    step.tasks.FinishAll();
+    step.done = step.tasks.size();
     step.surplus = step.open;
   } else if (end.outcome == RunOutcome::kFailed && end.run > step.last_failed) {
     step.last_failed = end.run;
@@ -187,7 +200,7 @@
 void JobTable::RecordTaskEnd(JobRecord& job,
                              StepRecord& step,
                              const EndRun& end) {
-  TaskRecord& task = step.tasks[end.task.index];
+  TaskRecord& task = step.tasks.Change(end.task.index);
   const bool is_lasting = job.spec.steps[end.task.step.step].is_lasting;
   if (!end.checkpoint.empty()) {
     task.checkpoint = end.checkpoint;
--- a/libs/jobs/src/job_table_queues.cc
+++ b/libs/jobs/src/job_table_queues.cc
@@ -82,7 +82,9 @@
   for (JobRecord& job : jobs_ | std::views::values) {
     const auto it = new_names.find(job.queue);
     if (it != new_names.end()) {
+      RemoveSize(job);
       job.queue = it->second;
+      CountSize(job);
     }
   }
 }
--- a/libs/jobs/src/planner_gangs.cc
+++ b/libs/jobs/src/planner_gangs.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <string>
 #include <utility>
@@ -52,7 +53,8 @@
                      CostOf(step, *worker));
   });
   uint64_t run = 0;
-  for (const TaskRecord& task : step.record->tasks) {
+  for (const TaskRecord& task :
+       step.record->tasks.started() | std::views::values) {
     run = std::max(run, task.run);
   }
   const size_t members = step.record->tasks.size();
--- a/libs/jobs/src/planner_trials.cc
+++ b/libs/jobs/src/planner_trials.cc
@@ -20,9 +20,9 @@
 }  // namespace
 
 bool HasSuspects(const WaitingStep& step) {
-  return std::ranges::any_of(step.record->tasks, [](auto& task) {
-    return IsWaiting(task) && IsSuspect(task.crashes);
-  });
+  return std::ranges::any_of(
+      step.record->tasks.started() | std::views::values,
+      [](auto& task) { return IsWaiting(task) && IsSuspect(task.crashes); });
 }
 
 // Gangs are placed as a whole, see TryGang.
@@ -31,8 +31,7 @@
     return;
   }
   const Pool eligible = EligibleWorkers(step);
-  for (uint32_t n = 0; n < step.record->tasks.size(); ++n) {
-    const TaskRecord& task = step.record->tasks[n];
+  for (const auto& [n, task] : step.record->tasks.started()) {
     if (!IsWaiting(task) || !IsSuspect(task.crashes)) {
       continue;
     }
--- a/libs/jobs/test/admission_control_test.cc
+++ b/libs/jobs/test/admission_control_test.cc
@@ -241,14 +241,15 @@
     for (const auto& [occurrence, steps] : job->occurrences) {
       for (uint32_t n = 0; n < steps.size(); ++n) {
         const StepSpec& spec = job->spec.steps[n];
-        const auto is_idle = [](const TaskRecord& it) {
-          return !it.is_done && !it.is_open;
+        const TaskSet& tasks = steps[n].tasks;
+        const auto is_idle = [&](uint32_t index) {
+          return !tasks[index].is_done && !tasks[index].is_open;
         };
-        const auto waiting = std::ranges::count_if(steps[n].tasks, is_idle);
+        const auto waiting =
+            std::ranges::count_if(std::views::iota(0U, tasks.size()), is_idle);
         const bool may_start =
             IsStepReady(job->spec, steps, n) &&
-            (!spec.is_gang ||
-             waiting == static_cast<ptrdiff_t>(steps[n].tasks.size()));
+            (!spec.is_gang || waiting == static_cast<ptrdiff_t>(tasks.size()));
         if (may_start && CanBeTooLate(job->spec)) {
           work[job->customer] +=
               Times(spec.Charge(),
--- a/libs/jobs/test/copies_test.cc
+++ b/libs/jobs/test/copies_test.cc
@@ -60,7 +60,7 @@
   EXPECT_EQ(changes.surplus_runs[0].worker, Boot("a"));
   EXPECT_EQ(fixture_.PhaseOf("j"), JobPhase::kCompleted);
   fixture_.End(Task("j"), 1, Boot("a"), RunOutcome::kStopped);
-  EXPECT_FALSE(Record().is_open);
+  EXPECT_FALSE(fixture_.table.FindJob(wire::JobId("j"))->HasOpenRuns());
   EXPECT_EQ(UsedOn("a"), Resources());
 }
 
@@ -72,7 +72,7 @@
   EXPECT_EQ(changes.surplus_runs[0].worker, Boot("b"));
   EXPECT_EQ(fixture_.PhaseOf("j"), JobPhase::kCompleted);
   fixture_.End(Task("j"), 2, Boot("b"), RunOutcome::kStopped);
-  EXPECT_FALSE(Record().is_open);
+  EXPECT_FALSE(fixture_.table.FindJob(wire::JobId("j"))->HasOpenRuns());
   EXPECT_EQ(UsedOn("b"), Resources());
 }
 
--- a/libs/jobs/test/crash_test.cc
+++ b/libs/jobs/test/crash_test.cc
@@ -135,7 +135,9 @@
 TEST_F(TaskCrashTest, AJobIsGivenUpOnceItsTaskIsTheOnlyPossibleCause) {
   EXPECT_TRUE(CrashTask(1, CrashRole::kSole).ended_jobs.empty());
   const Changes changes = CrashTask(2, CrashRole::kSole);
-  EXPECT_EQ(changes.crash_causes, std::vector{Task("j")});
+  ASSERT_EQ(changes.crash_causes.size(), 1U);
+  EXPECT_EQ(changes.crash_causes[0].task, Task("j"));
+  EXPECT_EQ(changes.crash_causes[0].crashes.size(), 2U);
   EXPECT_EQ(changes.ended_jobs, std::vector{wire::JobId("j")});
   EXPECT_EQ(fixture_.PhaseOf("j"), JobPhase::kFailed);
   EXPECT_FALSE(fixture_.Start(Task("j"), 3, Boot("w")));
--- a/libs/jobs/test/customer_loads_test.cc
+++ b/libs/jobs/test/customer_loads_test.cc
@@ -25,6 +25,9 @@
     }
   }
   for (nlohmann::json& job : value["jobs"]) {
+    const auto bytes = job.get_binary();
+    job = *wire::ParseCbor(
+        {reinterpret_cast<const char*>(bytes.data()), bytes.size()}, why);
     job.erase("customer");
     job.erase("is_excess");
   }
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -83,12 +83,16 @@
   // After this, no entry serves a key that an acknowledged manifest has
   // removed.
   base::Duration revoke_limit = std::chrono::milliseconds(5000);
+  // The state of a job that has ended can be read for at least this long.
+  base::Duration keep_ended = std::chrono::milliseconds(120'000);
 };
 
 struct LimitSettings {
   uint32_t max_body_bytes = 4 * 1024 * 1024;
   uint32_t max_header_bytes = 16 * 1024;
   uint32_t max_header_fields = 4096;
+  // Memory of the process. Jobs may take a part of it, see jobs::TableBudget.
+  uint32_t memory_mb = 256;
   // Memory of all requests together that aren't answered yet.
   uint32_t max_unanswered_bytes = 32 * 1024 * 1024;
   uint32_t max_connections = 4096;
--- a/libs/settings/src/reader.cc
+++ b/libs/settings/src/reader.cc
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 
 #include <array>
+#include <cmath>
 #include <ranges>
 #include <utility>
 
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr double kMaxFraction = 1e15;
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info",
                                                         "warning", "error"};
 
@@ -153,9 +155,29 @@
     Report(node.source().begin, "\"" + path + "\" must be an integer");
     return std::nullopt;
   }
-  if (*number < min || *number > max) {
+  return CheckRange(node, path, *number, min, max);
+}
+
+std::optional<int64_t> Reader::ReadMilliseconds(const toml::node& node,
+                                                const std::string& path,
+                                                int64_t min,
+                                                int64_t max) {
+  const auto fraction = node.value_exact<double>();
+  // Conversion of what an integer can't hold isn't defined.
+  const bool is_roundable = fraction && std::abs(*fraction) < kMaxFraction;
+  return is_roundable
+             ? CheckRange(node, path, static_cast<int64_t>(*fraction), min, max)
+             : ReadNumber(node, path, min, max);
+}
+
+std::optional<int64_t> Reader::CheckRange(const toml::node& node,
+                                          const std::string& path,
+                                          int64_t number,
+                                          int64_t min,
+                                          int64_t max) {
+  if (number < min || number > max) {
     Report(node.source().begin,
-           "\"" + path + "\" is " + std::to_string(*number) + ", must be " +
+           "\"" + path + "\" is " + std::to_string(number) + ", must be " +
                std::to_string(min) + " to " + std::to_string(max));
     return std::nullopt;
   }
--- a/libs/settings/src/reader.h
+++ b/libs/settings/src/reader.h
@@ -111,6 +111,17 @@
                                     const std::string& path,
                                     int64_t min,
                                     int64_t max);
+  // The same, but also takes fractions, which it rounds down.
+  std::optional<int64_t> ReadMilliseconds(const toml::node& node,
+                                          const std::string& path,
+                                          int64_t min,
+                                          int64_t max);
+  // Returns the number, or nullopt after a report that it is out of range.
+  std::optional<int64_t> CheckRange(const toml::node& node,
+                                    const std::string& path,
+                                    int64_t number,
+                                    int64_t min,
+                                    int64_t max);
 
   std::string file_;
   std::vector<Problem>& problems_;
@@ -160,7 +171,7 @@
                        Struct& out) {
   const auto fill = [&]<typename Value>(Value Struct::*member) {
     if constexpr (std::is_same_v<Value, base::Duration>) {
-      if (const auto n = ReadNumber(node, path, field.min, field.max)) {
+      if (const auto n = ReadMilliseconds(node, path, field.min, field.max)) {
         out.*member = std::chrono::milliseconds(*n);
       }
     } else if constexpr (std::is_same_v<Value, bool>) {
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -19,6 +19,7 @@
 
 constexpr int64_t kMebibyte = 1'048'576;
 constexpr int64_t kMaxTimeMs = 3'600'000;
+constexpr int64_t kMaxKeptMs = 86'400'000;
 constexpr int64_t kMaxPort = 65'535;
 constexpr int64_t kMaxThreads = 64;
 constexpr int64_t kMaxToleratedLosses = 100;
@@ -43,6 +44,8 @@
      TextRule::kPath, 1024, kMebibyte},
     {"max_header_fields", &LimitSettings::max_header_fields, kOptional,
      TextRule::kPath, 16, 100'000},
+    {"memory_mb", &LimitSettings::memory_mb, kOptional, TextRule::kPath, 16,
+     kMebibyte},
     {"max_unanswered_bytes", &LimitSettings::max_unanswered_bytes, kOptional,
      TextRule::kPath, kMebibyte, 1024 * kMebibyte},
     {"max_connections", &LimitSettings::max_connections, kOptional,
@@ -134,6 +137,8 @@
      TextRule::kPath, 100, kMaxTimeMs},
     {"revoke_limit_ms", &JobSettings::revoke_limit, kOptional, TextRule::kPath,
      500, kMaxTimeMs},
+    {"keep_ended_ms", &JobSettings::keep_ended, kOptional, TextRule::kPath, 0,
+     kMaxKeptMs},
 };
 
 constexpr std::string_view kPeersKey = "peers";
--- a/libs/settings/test/settings_test.cc
+++ b/libs/settings/test/settings_test.cc
@@ -90,6 +90,18 @@
   EXPECT_EQ(settings->log.level, "debug");
 }
 
+// The platform tells some times in seconds, which may be fractions.
+TEST(SettingsTest, TimesMayBeFractions) {
+  std::vector<Problem> problems;
+  const std::string text =
+      std::string(kGood) + "[jobs]\nkeep_ended_ms = 1.5e3\n";
+  const auto settings = Settings::Parse(text, "f.toml", problems);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->jobs.keep_ended, milliseconds(1500));
+  ExpectOne(std::string(kGood) + "[jobs]\nkeep_ended_ms = 1e300\n", 24,
+            "must be an integer");
+}
+
 TEST(SettingsTest, UnknownKeysAreNamedWithTheirPlace) {
   ExpectOne(With("name = \"entry-1\"", "nmae = 1\nname = \"entry-1\""), 2,
             "unknown key \"process.nmae\"");
