Jobs: a text of more than 4,000 bytes is refused

Cause: FaultOf(JobSpec) had no bound for the text.

The test JobLimits.ATextOfMoreThanFourThousandBytesIsRefused asks for the bound that wasn't there; it wasn't run on the former code.

--- a/libs/jobs/src/types.cc
+++ b/libs/jobs/src/types.cc
@@ -9,8 +9,10 @@
 namespace sassafras::jobs {
 namespace {
 
+constexpr size_t kMaxPayloadBytes = 4'000;
 constexpr size_t kMaxSteps = 256;
-// Of all steps. Each task occupies memory on each control host.
+// Of all steps. Each task that has been started occupies memory on each control
+// host.
 constexpr uint32_t kMaxTasks = 10'000;
 // More than any worker has; sums of it over all tasks don't overflow.
 constexpr int64_t kMaxResourceAmount = 1'000'000'000'000;
@@ -95,6 +97,10 @@
     return "a job must have between 1 and " + std::to_string(kMaxSteps) +
            " steps";
   }
+  if (spec.payload.size() > kMaxPayloadBytes) {
+    return "the text that a job passes to its tasks must have at most " +
+           std::to_string(kMaxPayloadBytes) + " bytes";
+  }
   if (spec.occurrences > kMaxOccurrences) {
     return "a job must have at most " + std::to_string(kMaxOccurrences) +
            " occurrences";
--- a/libs/jobs/test/limits_test.cc
+++ b/libs/jobs/test/limits_test.cc
@@ -63,6 +63,16 @@
   EXPECT_NE(FaultOf(spec), "");
 }
 
+// 200 jobs with a text of 250,000 bytes took the control hosts over their
+// memory.
+TEST(JobLimits, ATextOfMoreThanFourThousandBytesIsRefused) {
+  JobSpec spec = OneStep();
+  spec.payload.assign(4'000, 'x');
+  EXPECT_EQ(FaultOf(spec), "");
+  spec.payload.push_back('x');
+  EXPECT_NE(FaultOf(spec), "");
+}
+
 // An overflow put the due time into the past, so that the job outranked all
 // others.
 TEST(JobLimits, TheLargestEstimatesGiveALateDueTime) {
