--- a/libs/jobcontrol/src/leader_plans.cc
+++ b/libs/jobcontrol/src/leader_plans.cc
@@ -16,12 +16,28 @@
 constexpr auto kAdviceTimeoutMargin = std::chrono::milliseconds(600);
 constexpr auto kWaitingLogPause = std::chrono::seconds(2);
 
+void AddRoom(Decision& line, const jobs::RoomReport& room) {
+  line.With("needed", room.needed)
+      .With("room_in_pool", room.room_in_pool)
+      .With("room_permitted", room.room_permitted)
+      .With("room_unreserved", room.room_unreserved)
+      .With("room_with_ticket", room.room_with_ticket)
+      .With("room_if_empty", room.room_if_empty)
+      .With("permitted_workers", room.permitted_workers)
+      .With("answered_workers", room.answered_workers)
+      .With("reserved_workers", room.reserved_workers)
+      .With("late", room.is_late)
+      .With("waited_us", room.waited);
+}
+
 }  // namespace
 
 void Leader::PlanStarts() {
   const base::Instant now = context_.Now();
+  jobs::PlanSources sources = MakePlanSources();
+  sources.reports_room = now >= next_waiting_log_;
   jobs::Plan plan =
-      scheduler_.MakePlan(context_.table(), advice_, MakePlanSources(), now);
+      scheduler_.MakePlan(context_.table(), advice_, sources, now);
   LogWaitingSteps(plan.waiting);
   UsePlan(std::move(plan), PlanScope::kAllSteps, now);
 }
@@ -63,6 +79,7 @@
       .With("ready", plan.ready_steps)
       .With("without_room", plan.steps_without_room)
       .With("starts", plan.starts.size())
+      .With("reserved", plan.reserved_workers.size())
       .With("queries", plan.advice_requests.size())
       .With("queries_open", advice_.CountOpenQueries())
       .Write();
@@ -90,6 +107,9 @@
     if (job != nullptr && !job->customer.empty()) {
       line.With("customer", job->customer);
     }
+    if (it.room) {
+      AddRoom(line, *it.room);
+    }
     line.Write();
   }
 }
--- a/libs/jobs/include/jobs/job_timing.h
+++ b/libs/jobs/include/jobs/job_timing.h
@@ -24,6 +24,8 @@
 // When waiting work should be done.
 struct DueTime {
   base::Instant at;
+  // The objective can't be met any more; `at` is when the result is of no use.
+  bool is_late = false;
   // No due time can be met any more; the work waits behind all other work.
   bool is_missed = false;
 };
@@ -43,6 +45,8 @@
   // `queue` may be null; the estimates then contain no advice queries.
   JobTiming(const JobSpec& spec, const Queue* queue, base::Instant accepted_at);
 
+  base::Instant accepted_at() const { return accepted_at_; }
+
   // An occurrence of a recurring job has begun; it is due from then on. Does
   // nothing if that is known.
   void OnOccurrence(uint64_t occurrence, base::Instant begun_at);
--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,9 +51,29 @@
                               {WaitReason::kNoQuery, "no-query"},
                               {WaitReason::kAtCap, "at-cap"},
                               {WaitReason::kExcess, "excess"}})
+// How far a step that is hard to place is from a start. Room is counted in
+// tasks of the step, at most all of them.
+struct RoomReport {
+  size_t needed = 0;            // tasks that start together
+  size_t room_in_pool = 0;      // now, on any worker
+  size_t room_permitted = 0;    // now, on workers that may run the step
+  size_t room_unreserved = 0;   // of these, not reserved for other steps
+  size_t room_with_ticket = 0;  // of these, with tickets that are valid
+  size_t room_if_empty = 0;     // if the permitted workers were empty
+  size_t permitted_workers = 0;
+  size_t answered_workers = 0;  // permitted or refused
+  size_t reserved_workers = 0;  // for this step
+  // The job can't be done within its objective any more.
+  bool is_late = false;
+  base::Duration waited{};  // since the job was accepted
+};
+
 struct WaitingReason {
   StepKey step;
   WaitReason reason = WaitReason::kNoRoom;
+  // Of gangs and of other steps that are hard to place, if the plan was to
+  // report it.
+  std::optional<RoomReport> room;
 };
 
 struct Plan {
@@ -83,6 +104,9 @@
   // Whether a worker that the last plan could use responds and accepts new work
   // now. Called by MakePlanFor() only.
   std::function<bool(const WorkerBoot&)> is_usable;
+  // Whether the plan reports what steps that are hard to place lack, which
+  // takes a walk over the pool for each of them.
+  bool reports_room = false;
 };
 
 // Not thread-safe. Lives for one term of leadership.
--- a/libs/jobs/src/job_timing.cc
+++ b/libs/jobs/src/job_timing.cc
@@ -81,9 +81,9 @@
                              uint64_t occurrence) const {
   const StepDates dates = DatesOf(queue, step, occurrence);
   if (now <= dates.last_start_for_objective) {
-    return {dates.objective, false};
+    return {dates.objective};
   }
-  return {dates.last_useful, now > dates.last_useful_start};
+  return {dates.last_useful, true, now > dates.last_useful_start};
 }
 
 double JobTiming::NeededSpeed(uint32_t step,
--- a/libs/jobs/src/plan_state.h
+++ b/libs/jobs/src/plan_state.h
@@ -35,6 +35,7 @@
   bool is_unusable = false;
   bool is_awaited = false;   // will probably be usable soon
   bool is_reserved = false;  // reserved for a step of higher rank
+  StepKey reserved_for;      // the first such step
   // Reserved in the last plan, and so perhaps in this one for a step that is
   // placed later.
   bool was_reserved = false;
@@ -147,6 +148,13 @@
 // Returns how many tasks of the step fit into `free_capacity`, at most the
 // step's count.
 size_t CountFitting(const WaitingStep& step, const Resources& free_capacity);
+// The same for what is free on the worker, reserved or not; 0 if that is
+// unusable.
+size_t CountFittingNow(const WaitingStep& step, const Candidate& worker);
+// Whether the step is a gang, or one of its tasks takes more than half of every
+// eligible worker. Without a reservation, smaller work would fill every gap
+// before such a step finds one.
+bool IsHardToPlace(const WaitingStep& step, const Pool& eligible);
 
 }  // namespace sassafras::jobs
 
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -102,6 +102,18 @@
   return static_cast<size_t>(fitting);
 }
 
+size_t CountFittingNow(const WaitingStep& step, const Candidate& worker) {
+  return worker.is_unusable ? 0 : CountFitting(step, worker.free_capacity);
+}
+
+bool IsHardToPlace(const WaitingStep& step, const Pool& eligible) {
+  const Resources twice = Times(step.spec->Charge(), 2);
+  return step.spec->is_gang ||
+         std::ranges::none_of(eligible, [&](const Candidate* worker) {
+           return twice.Fits(worker->info().capacity);
+         });
+}
+
 Planner::Planner(const JobTable& table,
                  const AdviceTracker& advice,
                  const SchedulerHistory& history)
@@ -109,6 +121,7 @@
 
 Plan Planner::Make(const PlanSources& sources, base::Instant now) {
   now_ = now;
+  reports_room_ = sources.reports_room;
   CollectSteps();
   quotas_.AddRunningCustomers();
   if (upcoming_steps_.empty() && history_.slow_runs.empty() &&
@@ -249,6 +262,9 @@
       continue;
     }
     reserved += worker->is_reserved ? 0 : 1;
+    if (!worker->is_reserved) {
+      worker->reserved_for = step.key;
+    }
     worker->is_reserved = true;
     plan_.reserved_workers.insert(worker->boot());
     missing -= std::min(missing, CountFitting(step, worker->info().capacity));
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -133,6 +133,9 @@
   // Returns what is free in the step's pool on workers that can be used.
   Resources FreeCapacityFor(const WaitingStep& step);
   WaitReason OnCapped(const WaitingStep& step);
+  // Notes why the step waits, and what it lacks if the plan reports that.
+  void NoteWaiting(const WaitingStep& step, WaitReason reason);
+  RoomReport MakeRoomReport(const WaitingStep& step);
   // Requests advice or reserves capacity for a step without room.
   WaitReason OnNoRoom(WaitingStep& step, const Pool& eligible);
   void PlaceCopies();
@@ -243,6 +246,7 @@
   std::set<wire::ServiceId> pools_short_of_room_;
   // What excess steps of customers beyond their share may take of each pool.
   std::map<wire::ServiceId, Resources> room_for_excess_;
+  bool reports_room_ = false;  // see PlanSources
   Plan plan_;
 };
 
--- a/libs/jobs/src/planner_order.cc
+++ b/libs/jobs/src/planner_order.cc
@@ -10,21 +10,6 @@
 #include "planner.h"
 
 namespace sassafras::jobs {
-namespace {
-
-// Whether the step is a gang, or one of its tasks takes more than half of every
-// eligible worker. Without a reservation, smaller work would fill every gap
-// before such a step finds one.
-bool IsHardToPlace(const WaitingStep& step, const Pool& eligible) {
-  Resources twice = step.spec->Charge();
-  twice += step.spec->Charge();
-  return step.spec->is_gang ||
-         std::ranges::none_of(eligible, [&](const Candidate* worker) {
-           return twice.Fits(worker->info().capacity);
-         });
-}
-
-}  // namespace
 
 // A customer's level rises with each task that is placed for it, so a step may
 // be placed in part on each of the levels.
@@ -71,16 +56,16 @@
   }
   step.is_settled = true;
   if (step.awaits_advice) {
-    plan_.waiting.push_back({step.key, WaitReason::kQueryOpen});
+    NoteWaiting(step, WaitReason::kQueryOpen);
     return;
   }
   const bool has_rest = step.placed < step.UnstartedTasks();
   if (has_rest && step.IsCapped()) {
-    plan_.waiting.push_back({step.key, OnCapped(step)});
+    NoteWaiting(step, OnCapped(step));
     return;
   }
   if (has_rest && IsKeptBack(step)) {
-    plan_.waiting.push_back({step.key, WaitReason::kExcess});
+    NoteWaiting(step, WaitReason::kExcess);
     return;
   }
   const Pool eligible = EligibleWorkers(step);
@@ -91,13 +76,13 @@
       step.is_settled = false;
       break;
     case PlaceResult::kCapped:
-      plan_.waiting.push_back({step.key, OnCapped(step)});
+      NoteWaiting(step, OnCapped(step));
       break;
     case PlaceResult::kKeptBack:
-      plan_.waiting.push_back({step.key, WaitReason::kExcess});
+      NoteWaiting(step, WaitReason::kExcess);
       break;
     case PlaceResult::kNoRoom:
-      plan_.waiting.push_back({step.key, OnNoRoom(step, eligible)});
+      NoteWaiting(step, OnNoRoom(step, eligible));
       break;
   }
 }
--- a/libs/jobs/src/planner_steps.cc
+++ b/libs/jobs/src/planner_steps.cc
@@ -186,7 +186,7 @@
 DueTime Planner::DueTimeOf(const WaitingStep& step) const {
   const auto it = history_.timings.find(step.job->id);
   if (it == history_.timings.end()) {
-    return {now_, false};
+    return {now_};
   }
   DueTime due = it->second.DueTimeOf(*step.queue, step.key.step, now_,
                                      step.key.occurrence);
--- a/libs/jobs/src/planner_urgent.cc
+++ b/libs/jobs/src/planner_urgent.cc
@@ -12,6 +12,7 @@
                       const PlanSources& sources,
                       base::Instant now) {
   now_ = now;
+  reports_room_ = sources.reports_room;
   waiting_steps_.clear();
   upcoming_steps_.clear();
   needs_without_room_.clear();
