Reservations: one gang a worker, all of its workers or none, and it keeps its turn

Callers saw that wide gangs weren't served although the pool had room for them.

Cause: gangs reserved the same workers. The reserved set was the union of what many gangs counted on, so one gang took a part of it and the others began to wait anew; a gang that needs many workers never got all of them. When its objective had passed, it fell behind all newer gangs and lost what had been kept for it.

Change: a worker is reserved for one step. A gang gets workers for all its tasks or none, in the order of service; what can't get them under the limit ends the reservations of the pool in this plan, so that narrow gangs don't overtake wide ones. A step whose workers were all reserved in the last plan comes before others of its class and share level.

--- a/libs/jobs/include/jobs/scheduler.h
+++ b/libs/jobs/include/jobs/scheduler.h
@@ -85,7 +85,9 @@
   std::vector<WaitingReason> waiting;
   std::vector<AdviceRequest> advice_requests;  // most urgent first
   // Workers whose capacity is kept for steps that couldn't be placed.
-  std::set<WorkerBoot> reserved_workers;
+  std::map<WorkerBoot, StepKey> reserved_workers;
+  // Steps for all tasks of which workers are kept.
+  std::set<StepKey> reserved_steps;
   // Steps that need advice, about which no worker is worth a query now.
   std::vector<StepKey> steps_without_query;
 };
@@ -184,7 +186,9 @@
   std::map<wire::JobId, std::map<TaskKey, std::set<wire::WorkerId>>> failed_on_;
   // Runs that should get a copy.
   std::map<TaskKey, uint64_t> slow_runs_;
-  std::set<WorkerBoot> reserved_workers_;  // of the last plan
+  // Of the last plan of all steps.
+  std::map<WorkerBoot, StepKey> reserved_workers_;
+  std::set<StepKey> reserved_steps_;
   // When the search for workers to ask about is next worth its cost, for steps
   // for which the last search found none.
   std::map<StepKey, base::Instant> next_advice_search_;
--- a/libs/jobs/src/plan_state.h
+++ b/libs/jobs/src/plan_state.h
@@ -20,6 +20,16 @@
 
 namespace sassafras::jobs {
 
+// Steps of a lower class are served first, and within a class those of a lower
+// ShareLevel.
+struct ServiceClass {
+  bool is_excess = false;
+  bool is_missed = false;
+  uint32_t priority = 0;
+
+  friend auto operator<=>(const ServiceClass&, const ServiceClass&) = default;
+};
+
 // State of one worker while a plan is made.
 struct Candidate {
   const WorkerRecord* record = nullptr;
@@ -33,12 +43,13 @@
   int32_t pace = 0;  // steps of speed above the typical; negative if slower
   // Has become so since the last plan of all steps, or is awaited.
   bool is_unusable = false;
-  bool is_awaited = false;   // will probably be usable soon
-  bool is_reserved = false;  // reserved for a step of higher rank
-  StepKey reserved_for;      // the first such step
-  // Reserved in the last plan, and so perhaps in this one for a step that is
+  bool is_awaited = false;  // will probably be usable soon
+  // The step for which the worker is kept free, and the class of that step.
+  std::optional<StepKey> reserved_for;
+  ServiceClass reserved_class;
+  // The same in the last plan, and so perhaps in this one for a step that is
   // placed later.
-  bool was_reserved = false;
+  std::optional<StepKey> was_reserved_for;
   bool has_fillers = false;
   // Runs long-running tasks with a latency target.
   bool has_user_serving_tasks = false;
@@ -55,16 +66,6 @@
 
 using Pool = std::vector<Candidate*>;
 
-// Steps of a lower class are served first, and within a class those of a lower
-// ShareLevel.
-struct ServiceClass {
-  bool is_excess = false;
-  bool is_missed = false;
-  uint32_t priority = 0;
-
-  friend auto operator<=>(const ServiceClass&, const ServiceClass&) = default;
-};
-
 // A step with tasks to start. Steps of one share level are served in the order
 // of Rank().
 struct WaitingStep {
@@ -74,9 +75,13 @@
   const StepRecord* record = nullptr;
   StepKey key;
   DueTime due;
-  bool is_ready = false;        // the steps that it depends on are done
-  bool awaits_advice = false;   // the first query about it is in flight
-  bool is_excess = false;       // the job is
+  bool is_ready = false;       // the steps that it depends on are done
+  bool awaits_advice = false;  // the first query about it is in flight
+  bool is_excess = false;      // the job is
+  // The last plan kept workers free for all its tasks. It comes before others
+  // of its class: newer work of an earlier due time would otherwise take these
+  // workers one by one as they become free.
+  bool has_reservation = false;
   PoolUse* pool_use = nullptr;  // of its customer
   // It waits for the next plan beyond this level.
   ShareLevel max_level = ShareLevel::kFarBeyond;
@@ -109,7 +114,7 @@
     return {is_excess, due.is_missed, queue->priority};
   }
   auto Rank() const {
-    return std::tuple(Class(), due.at, job->order, key.step);
+    return std::tuple(Class(), !has_reservation, due.at, job->order, key.step);
   }
 };
 
@@ -131,10 +136,14 @@
   friend auto operator<=>(const PlacementCost&, const PlacementCost&) = default;
 };
 
+// Returns the number of tasks of the step on the worker.
+size_t CountTasks(const StepKey& step, const Candidate& worker);
 // Takes the capacity of one task of the step.
 void AddTask(const WaitingStep& step, Candidate& worker);
 // Whether any task of the step must be started in a trial.
 bool HasSuspects(const WaitingStep& step);
+// Whether the worker isn't kept free for another step that comes first.
+bool IsOpenTo(const WaitingStep& step, const Candidate& worker);
 // Whether the worker could run a task of the step if it were empty.
 bool IsEligible(const WaitingStep& step, const Candidate& worker);
 // Whether a task of the step would fit on the worker if that were usable.
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -28,7 +28,8 @@
              : kTooSlow - worker.pace;
 }
 
-// Returns the number of tasks of the step on the worker.
+}  // namespace
+
 size_t CountTasks(const StepKey& step, const Candidate& worker) {
   const auto open = std::ranges::count(worker.record->runs, step,
                                        [](auto& run) { return run.task.step; });
@@ -36,8 +37,6 @@
   return static_cast<size_t>(open + placed);
 }
 
-}  // namespace
-
 void AddTask(const WaitingStep& step, Candidate& worker) {
   worker.free_capacity -= step.spec->Charge();
   worker.has_fillers |= step.spec->is_filler;
@@ -54,9 +53,14 @@
          step.spec->Charge().Fits(worker.info().capacity);
 }
 
+bool IsOpenTo(const WaitingStep& step, const Candidate& worker) {
+  return !worker.reserved_for || worker.reserved_for == step.key ||
+         step.Class() < worker.reserved_class;
+}
+
 bool HasRoom(const WaitingStep& step, const Candidate& worker) {
   const bool is_closed =
-      worker.is_reserved ||
+      !IsOpenTo(step, worker) ||
       (worker.job_on_trial && *worker.job_on_trial != step.key.job);
   if (is_closed || !step.spec->Charge().Fits(worker.free_capacity)) {
     return false;
@@ -82,7 +86,7 @@
   return {worker.is_on_probation,
           has_interference,
           is_remote,
-          worker.was_reserved,
+          worker.was_reserved_for && worker.was_reserved_for != step.key,
           SpeedRank(step, worker),
           worker.free_capacity.accelerators - step.spec->need.accelerators,
           -worker.free_capacity.cpu_milli};
@@ -240,35 +244,4 @@
   return best;
 }
 
-// Reserves for the step the eligible workers with the most free capacity, which
-// will be able to run it soonest, so that steps of lower rank don't use them.
-// At most half of the pool is reserved. A worker that runs a task of the step
-// isn't: the end of that task makes room for the next one, until then the rest
-// would lie idle.
-void Planner::Reserve(const WaitingStep& step, Pool eligible) {
-  const Pool& pool = PoolOf(step);
-  std::ranges::sort(eligible, std::greater(), [](const Candidate* worker) {
-    return std::tuple(worker->is_reserved, worker->free_capacity.accelerators,
-                      worker->free_capacity.cpu_milli);
-  });
-  auto reserved = static_cast<size_t>(
-      std::ranges::count(pool, true, &Candidate::is_reserved));
-  size_t missing = step.record->tasks.size();
-  for (Candidate* worker : eligible) {
-    if (missing == 0 || 2 * (reserved + 1) > pool.size()) {
-      return;
-    }
-    if (CountTasks(step.key, *worker) > 0) {
-      continue;
-    }
-    reserved += worker->is_reserved ? 0 : 1;
-    if (!worker->is_reserved) {
-      worker->reserved_for = step.key;
-    }
-    worker->is_reserved = true;
-    plan_.reserved_workers.insert(worker->boot());
-    missing -= std::min(missing, CountFitting(step, worker->info().capacity));
-  }
-}
-
 }  // namespace sassafras::jobs
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -45,7 +45,9 @@
   const WorkerSpeed& speed;
   const Trials& trials;
   const FailedOn& failed_on;
-  const std::set<WorkerBoot>& reserved_workers;  // of the last plan
+  // Of the last plan.
+  const std::map<WorkerBoot, StepKey>& reserved_workers;
+  const std::set<StepKey>& reserved_steps;
   const std::map<StepKey, base::Instant>& next_advice_search;
   const RecentStarts& usual_starts;  // of jobs that aren't in excess
   const std::map<TaskKey, uint64_t>& slow_runs;  // that should get a copy
@@ -172,7 +174,10 @@
   // Keeps the capacity that the step's open query has claimed from the steps
   // that are placed later.
   void HoldClaims(const WaitingStep& step);
-  void Reserve(const WaitingStep& step, Pool eligible);
+  void ReleaseReservation(const WaitingStep& step);
+  void Reserve(const WaitingStep& step, Pool permitted);
+  // Returns how many more workers of its pool may be kept for the step.
+  size_t CountReservable(const WaitingStep& step);
 
   // Whether the customer's cap leaves something to ask about, beside what its
   // other queries are about. Limits the query to that.
@@ -242,6 +247,9 @@
   ShareLevel max_level_without_room_ = ShareLevel::kFarBeyond;
   // The first steps that a cap kept from starting, by rank.
   std::vector<StepKey> capped_steps_;
+  // Pools where no more workers may be kept for a step. Steps that come later
+  // get none either, or narrow ones would be preferred to wide ones.
+  std::set<wire::ServiceId> pools_fully_reserved_;
   // Pools where a step has found no room on the workers that it may use.
   std::set<wire::ServiceId> pools_short_of_room_;
   // What excess steps of customers beyond their share may take of each pool.
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -209,7 +209,9 @@
                                    std::span<const AdviceCandidate> permitted) {
   size_t fitting = 0;
   for (const AdviceCandidate& it : permitted) {
-    fitting += CountFitting(step, it.worker->info().capacity);
+    fitting += IsOpenTo(step, *it.worker)
+                   ? CountFitting(step, it.worker->info().capacity)
+                   : 0;
   }
   return static_cast<double>(fitting) >=
          kPermittedCapacityShare * static_cast<double>(step.spec->count);
--- a/libs/jobs/src/planner_order.cc
+++ b/libs/jobs/src/planner_order.cc
@@ -171,7 +171,7 @@
 Resources Planner::FreeCapacityFor(const WaitingStep& step) {
   Resources free;
   for (const Candidate* worker : PoolOf(step)) {
-    if (!worker->is_reserved && !worker->is_unusable) {
+    if (!worker->reserved_for && !worker->is_unusable) {
       free += worker->free_capacity;
     }
   }
--- a/libs/jobs/src/planner_report.cc
+++ b/libs/jobs/src/planner_report.cc
@@ -24,16 +24,13 @@
   for (const Candidate* worker : PermittedWorkers(step)) {
     ++report.permitted_workers;
     const size_t fitting = CountFittingNow(step, *worker);
-    const bool is_open =
-        !worker->is_reserved || worker->reserved_for == step.key;
     report.room_permitted += fitting;
-    report.room_unreserved += is_open ? fitting : 0;
+    report.room_unreserved += IsOpenTo(step, *worker) ? fitting : 0;
     report.room_if_empty += CountFitting(step, worker->info().capacity);
   }
   for (const Candidate* worker : EligibleWorkers(step)) {
-    const bool is_open =
-        !worker->is_reserved || worker->reserved_for == step.key;
-    report.room_with_ticket += is_open ? CountFittingNow(step, *worker) : 0;
+    report.room_with_ticket +=
+        IsOpenTo(step, *worker) ? CountFittingNow(step, *worker) : 0;
   }
   for (size_t RoomReport::*const room :
        {&RoomReport::room_in_pool, &RoomReport::room_permitted,
--- a/libs/jobs/src/planner_steps.cc
+++ b/libs/jobs/src/planner_steps.cc
@@ -65,9 +65,9 @@
             std::max(most.mem_mb, free.mem_mb),
             std::max(most.accelerators, free.accelerators)};
   }
-  for (const WorkerBoot& boot : history_.reserved_workers) {
+  for (const auto& [boot, step] : history_.reserved_workers) {
     if (Candidate* worker = FindCandidate(boot)) {
-      worker->was_reserved = true;
+      worker->was_reserved_for = step;
     }
   }
   if (quotas_.HasShares()) {
@@ -162,6 +162,7 @@
     return;
   }
   step.is_excess = job.is_excess;
+  step.has_reservation = history_.reserved_steps.contains(step.key);
   step.pool_use = quotas_.Open(job.customer, queue.service);
   step.due = DueTimeOf(step);
   step.needed_speed = NeededSpeedOf(step);
--- a/libs/jobs/src/scheduler.cc
+++ b/libs/jobs/src/scheduler.cc
@@ -119,18 +119,14 @@
                          const AdviceTracker& advice,
                          const PlanSources& sources,
                          base::Instant now) {
-  const SchedulerHistory history{timings_,
-                                 health_,
-                                 speed_,
-                                 trials_,
-                                 failed_on_,
-                                 reserved_workers_,
-                                 next_advice_search_,
-                                 *usual_starts_,
-                                 slow_runs_};
+  const SchedulerHistory history{
+      timings_,       health_,           speed_,          trials_,
+      failed_on_,     reserved_workers_, reserved_steps_, next_advice_search_,
+      *usual_starts_, slow_runs_};
   planner_ = std::make_unique<Planner>(table, advice, history);
   Plan plan = planner_->Make(sources, now);
   reserved_workers_ = plan.reserved_workers;
+  reserved_steps_ = plan.reserved_steps;
   PauseSearches(plan, now);
   return plan;
 }
