Advice: a gang asks at once about as many workers as it needs

Cause: a query about a gang named four workers a task, 60 at most, one query at a time. With three workers of ten permitted, a gang of 20 needed several queries of more than a second each before it knew enough workers, and then it knew just enough, so that it had to wait for each single one of them.

Change: a search names workers with the capacity for twice the gang, divided by the share that past answers have permitted; a narrow gang of small tasks names no more than before. What is more than 60 workers is shared by several hosts, while a quarter of all hosts stays idle; otherwise one query names 100 at most.

Two tests were set up for one query of 60 workers: GrantPermits answers all queries of a request, and AGangThatCannotFitOnPermittedWorkersAsksAboutOthers has a pool of 300 of which few are permitted. What they check is unchanged.

--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -48,7 +48,9 @@
 };
 
 // A step that can't be placed with its current permits. `candidates` are the
-// workers that could run it, best first.
+// workers that could run it, best first. If they are more than one query should
+// name, several queries share them, which are answered sooner than one; hosts
+// that other requests may need aren't used for that.
 struct AdviceRequest {
   StepKey step;
   QueueId queue;
@@ -99,9 +101,9 @@
   // Ignores whether the ticket has expired.
   AdviceStatus StatusOf(const StepKey& step, const WorkerBoot& worker) const;
 
-  // Returns the capacity claimed by the query about the step that is in flight;
-  // empty if there is none. Valid until the tracker is modified.
-  std::span<const CapacityClaim> ClaimsOf(const StepKey& step) const;
+  // Returns the capacity claimed by the queries about the step that are in
+  // flight; empty if there are none.
+  std::vector<CapacityClaim> ClaimsOf(const StepKey& step) const;
 
   // Returns the capacity that queries in flight have claimed on the worker.
   Resources ClaimedOn(const WorkerBoot& worker) const;
@@ -151,8 +153,7 @@
     boost::container::flat_map<wire::WorkerId, WorkerPermit> allowed;
     // Allowed and refused workers.
     AnswerMap answered;
-    // The query in flight.
-    std::optional<AdviceQueryId> open_query;
+    std::set<AdviceQueryId> open_queries;  // in flight
     base::Instant next_query_at;
   };
   struct OpenQuery {
@@ -164,9 +165,13 @@
     std::vector<CapacityClaim> claims;
   };
 
-  std::vector<WorkerBoot> WorkersToQuery(const AdviceRequest& request,
-                                         const StepAdvice& advice,
-                                         base::Instant now) const;
+  static std::vector<WorkerBoot> WorkersToQuery(const AdviceRequest& request,
+                                                const StepAdvice& advice,
+                                                base::Instant now);
+  // Marks a query about `workers` as in flight.
+  AssignedQuery AddQuery(const AdviceRequest& request,
+                         std::span<const WorkerBoot> workers,
+                         const wire::EntryId& host);
   void AddClaims(const OpenQuery& query);
   void RemoveClaims(const OpenQuery& query);
   void LearnPermittedShare(const OpenQuery& query,
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -18,6 +18,10 @@
 constexpr auto kRetryDelay = std::chrono::milliseconds(20);
 constexpr auto kHostBackoff = std::chrono::milliseconds(500);
 constexpr size_t kMaxWorkersPerQuery = 60;
+// What a query names at most, if no other host can send a part of it.
+constexpr size_t kMaxWorkersPerUnsplitQuery = 100;
+// The share of hosts that stay idle when several send parts of one request.
+constexpr double kIdleShareBesideParts = 0.25;
 // Slower queries leave the last idle hosts to quicker ones.
 constexpr auto kSlowQueryTime = std::chrono::milliseconds(100);
 constexpr size_t kHostsForQuickQueries = 2;
@@ -33,6 +37,42 @@
   return std::chrono::duration_cast<base::Duration>(time);
 }
 
+// Returns how many of the idle hosts may send queries about `workers` workers.
+size_t UsableHostCount(const AdvicePolicy& policy,
+                       size_t workers,
+                       size_t idle,
+                       size_t hosts) {
+  const size_t named = std::min(workers, kMaxWorkersPerUnsplitQuery);
+  const bool is_slow = ExpectedTime(policy, named) > kSlowQueryTime;
+  const size_t wanted_reserve = is_slow ? kHostsForQuickQueries : 0;
+  const size_t reserved = hosts > wanted_reserve ? wanted_reserve : 0;
+  if (workers == 0 || idle <= reserved) {
+    return 0;
+  }
+  const auto kept_idle =
+      static_cast<size_t>(kIdleShareBesideParts * static_cast<double>(hosts));
+  return 1 + (idle > kept_idle + 1 ? idle - kept_idle - 1 : 0);
+}
+
+// Splits the workers into as few and as equal parts as queries should name, at
+// most one a host.
+std::vector<std::span<const WorkerBoot>> Split(
+    std::span<const WorkerBoot> workers,
+    size_t hosts) {
+  std::vector<std::span<const WorkerBoot>> parts;
+  const size_t wanted =
+      (workers.size() + kMaxWorkersPerQuery - 1) / kMaxWorkersPerQuery;
+  size_t left = std::min(wanted, hosts);
+  workers = workers.first(
+      std::min(workers.size(), left * kMaxWorkersPerUnsplitQuery));
+  for (; left > 0; --left) {
+    const size_t size = (workers.size() + left - 1) / left;
+    parts.push_back(workers.first(size));
+    workers = workers.subspan(size);
+  }
+  return parts;
+}
+
 }  // namespace
 
 size_t ReservedHostCount(const AdvicePolicy& policy) {
@@ -99,16 +139,19 @@
 
 bool AdviceTracker::HasOpenQuery(const StepKey& step) const {
   const auto it = steps_.find(step);
-  return it != steps_.end() && it->second.open_query;
+  return it != steps_.end() && !it->second.open_queries.empty();
 }
 
-std::span<const CapacityClaim> AdviceTracker::ClaimsOf(
-    const StepKey& step) const {
+std::vector<CapacityClaim> AdviceTracker::ClaimsOf(const StepKey& step) const {
+  std::vector<CapacityClaim> claims;
   const auto it = steps_.find(step);
-  if (it == steps_.end() || !it->second.open_query) {
-    return {};
+  if (it == steps_.end()) {
+    return claims;
+  }
+  for (const AdviceQueryId id : it->second.open_queries) {
+    std::ranges::copy(open_queries_.at(id).claims, std::back_inserter(claims));
   }
-  return open_queries_.at(*it->second.open_query).claims;
+  return claims;
 }
 
 Resources AdviceTracker::ClaimedOn(const WorkerBoot& worker) const {
@@ -160,47 +203,55 @@
                        [&](auto& host) { return CanQuery(host, now); });
   std::vector<AssignedQuery> assigned;
   for (const AdviceRequest& request : requests) {
-    StepAdvice& advice = steps_[request.step];
+    const StepAdvice& advice = steps_[request.step];
     const bool is_unneeded = !request.has_capacity && !advice.answered.empty();
-    if (advice.open_query || now < advice.next_query_at || is_unneeded) {
+    if (!advice.open_queries.empty() || now < advice.next_query_at ||
+        is_unneeded) {
       continue;
     }
     const auto workers = WorkersToQuery(request, advice, now);
-    const bool is_slow =
-        ExpectedTime(request.policy, workers.size()) > kSlowQueryTime;
-    const size_t wanted_reserve = is_slow ? kHostsForQuickQueries : 0;
-    const size_t reserved = hosts.size() > wanted_reserve ? wanted_reserve : 0;
-    if (workers.empty() || idle.size() <= reserved) {
-      continue;
+    const size_t usable = UsableHostCount(request.policy, workers.size(),
+                                          idle.size(), hosts.size());
+    for (const auto part : Split(workers, usable)) {
+      assigned.push_back(AddQuery(request, part, idle.back()));
+      idle.pop_back();
     }
-    last_id_ = last_id_.Next();
-    AssignedQuery assignment{idle.back(),
-                             {last_id_, request.step, {}},
-                             ExpectedTime(request.policy, workers.size())};
-    idle.pop_back();
-    querying_hosts_.insert(assignment.host);
-    std::ranges::transform(
-        workers, std::back_inserter(assignment.query.workers), &WorkerBoot::id);
-    advice.open_query = last_id_;
-    open_queries_[last_id_] = {
-        assignment.host,
-        request.step,
-        request.queue,
-        workers,
-        std::chrono::milliseconds(request.policy.valid_ms),
-        request.claims};
-    AddClaims(open_queries_[last_id_]);
-    assigned.push_back(std::move(assignment));
   }
   return assigned;
 }
 
+AssignedQuery AdviceTracker::AddQuery(const AdviceRequest& request,
+                                      std::span<const WorkerBoot> workers,
+                                      const wire::EntryId& host) {
+  last_id_ = last_id_.Next();
+  AssignedQuery assignment{host,
+                           {last_id_, request.step, {}},
+                           ExpectedTime(request.policy, workers.size())};
+  std::ranges::transform(workers, std::back_inserter(assignment.query.workers),
+                         &WorkerBoot::id);
+  OpenQuery& query = open_queries_[last_id_];
+  query = {host,
+           request.step,
+           request.queue,
+           {workers.begin(), workers.end()},
+           std::chrono::milliseconds(request.policy.valid_ms),
+           {}};
+  std::ranges::copy_if(
+      request.claims, std::back_inserter(query.claims), [&](auto& claim) {
+        return std::ranges::find(workers, claim.worker) != workers.end();
+      });
+  AddClaims(query);
+  querying_hosts_.insert(host);
+  steps_[request.step].open_queries.insert(last_id_);
+  return assignment;
+}
+
 // Returns the candidates to name in a query: those never named before, or those
 // that are permitted but whose ticket has expired.
 std::vector<WorkerBoot> AdviceTracker::WorkersToQuery(
     const AdviceRequest& request,
     const StepAdvice& advice,
-    base::Instant now) const {
+    base::Instant now) {
   std::vector<WorkerBoot> fresh;
   std::vector<WorkerBoot> expired;
   for (const WorkerBoot& worker : request.candidates) {
@@ -216,11 +267,7 @@
   }
   // Permitted workers are few and their answer is certain. Unknown workers are
   // queried only if no ticket needs renewal.
-  std::vector<WorkerBoot>& chosen = expired.empty() ? fresh : expired;
-  if (chosen.size() > kMaxWorkersPerQuery) {
-    chosen.resize(kMaxWorkersPerQuery);
-  }
-  return chosen;
+  return expired.empty() ? fresh : expired;
 }
 
 void AdviceTracker::OnAnswer(AdviceQueryId id,
@@ -238,7 +285,7 @@
     return;
   }
   StepAdvice& advice = step->second;
-  advice.open_query.reset();
+  advice.open_queries.erase(id);
   LearnPermittedShare(query, advice, permits.size());
   for (const WorkerBoot& worker : query.workers) {
     advice.answered[worker.id] = worker;
@@ -280,7 +327,7 @@
   backoff_until_[node.mapped().host] = now + kHostBackoff;
   const auto step = steps_.find(node.mapped().step);
   if (step != steps_.end()) {
-    step->second.open_query.reset();
+    step->second.open_queries.erase(id);
     step->second.next_query_at = now + kRetryDelay;
   }
 }
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -76,6 +76,11 @@
     // Tasks of the step that fit into capacity not claimed by other requests.
     size_t fitting = 0;
   };
+  // What an advice request is to achieve, in tasks of the step.
+  struct AdviceGoal {
+    double claimed = 0;   // for which room on the candidates is claimed
+    double capacity = 0;  // that the workers named for a gang should have
+  };
 
   void CollectWorkers(const PlanSources& sources);
   void SetPoolCapacities();
@@ -201,10 +206,15 @@
                                     Candidate* worker) const;
   std::vector<AdviceCandidate> PermittedCandidates(const WaitingStep& step);
   std::vector<AdviceCandidate> UnknownCandidates(const WaitingStep& step);
+  static size_t ChooseWorkersToName(const WaitingStep& step,
+                                    const AdviceGoal& goal,
+                                    std::span<AdviceCandidate> candidates);
+  static size_t CountForCapacity(const WaitingStep& step,
+                                 const AdviceGoal& goal,
+                                 std::span<const AdviceCandidate> candidates);
   void AddAdviceRequest(const WaitingStep& step,
                         std::vector<AdviceCandidate> candidates,
-                        size_t claimed,
-                        double permitted_share);
+                        const AdviceGoal& goal);
   // Asks where most of the step's tasks are likely to be placed by the answer.
   void RequestTaskAdvice(const WaitingStep& step);
   void RequestGangAdvice(const WaitingStep& step);
@@ -214,6 +224,12 @@
   // Whether the permitted workers could run the gang if they were empty.
   static bool HasPermittedCapacity(const WaitingStep& step,
                                    std::span<const AdviceCandidate> permitted);
+  // Returns how many tasks of the gang the permitted workers could run if they
+  // were empty, but for those that are kept for other steps.
+  static size_t PermittedCapacity(const WaitingStep& step,
+                                  std::span<const AdviceCandidate> permitted);
+  double CapacityToSearch(const WaitingStep& step,
+                          std::span<const AdviceCandidate> permitted) const;
   static size_t CountFittingTasks(std::span<const AdviceCandidate> candidates);
 
   const JobTable& table_;
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -1,6 +1,7 @@
 // Decides which advice a plan requests.
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "planner.h"
@@ -11,17 +12,18 @@
 // Limits of the number of workers named in one advice request.
 constexpr size_t kMaxWorkersPerRequest = 35;
 constexpr size_t kMinWorkersPerGangRequest = 30;
-constexpr size_t kMaxWorkersPerGangRequest = 60;
 constexpr size_t kMaxEarlyRequests = 4;
 // Requests for independent tasks name fewer workers, because a few of many
-// suffice and the answer comes sooner. A gang needs capacity for all its
-// members on permitted workers.
+// suffice and the answer comes sooner.
 constexpr size_t kMinWorkersPerRequest = 16;
 constexpr size_t kWorkersPerTask = 4;
 
-// Share of a gang's size for which workers must be permitted, counting their
-// whole capacity: some of it will be in use when the rest is free.
+// Shares of a gang's size for which workers must be permitted, counting their
+// whole capacity: some of it will be in use when the rest is free. A gang asks
+// for the latter, so that it can choose those that are free soonest, and asks
+// again only with less than the former.
 constexpr double kPermittedCapacityShare = 1.25;
+constexpr double kWantedCapacityShare = 2;
 
 // With at least this many idle hosts, tickets of a gang are renewed when this
 // share of its tasks has room: the capacity that has been kept for it would
@@ -29,15 +31,6 @@
 constexpr size_t kSpareHosts = 8;
 constexpr double kEarlyRenewalShare = 0.5;
 
-size_t CountWorkersToName(const WaitingStep& step) {
-  const size_t tasks = step.MissingTasks();
-  return step.spec->is_gang
-             ? std::clamp(kWorkersPerTask * tasks, kMinWorkersPerGangRequest,
-                          kMaxWorkersPerGangRequest)
-             : std::clamp(kWorkersPerTask * tasks, kMinWorkersPerRequest,
-                          kMaxWorkersPerRequest);
-}
-
 }  // namespace
 
 WaitReason Planner::RequestAdviceIfNeeded(const WaitingStep& step) {
@@ -90,9 +83,12 @@
   const double share = advice_.PermittedShare(step.job->queue);
   const double likely = share * static_cast<double>(CountFittingTasks(unknown));
   if (likely > static_cast<double>(fitting)) {
-    AddAdviceRequest(step, std::move(unknown), wanted, share);
+    AddAdviceRequest(step, std::move(unknown),
+                     {.claimed = static_cast<double>(wanted) / share});
   } else if (fitting > 0) {
-    AddAdviceRequest(step, std::move(permitted), std::min(wanted, fitting), 1);
+    AddAdviceRequest(
+        step, std::move(permitted),
+        {.claimed = static_cast<double>(std::min(wanted, fitting))});
   } else if (permitted.empty()) {
     RequestEarlyAdvice(step, std::move(unknown));
   } else if (searches) {
@@ -105,7 +101,10 @@
   const size_t needed = step.spec->count;
   const size_t fitting = CountFittingTasks(permitted);
   if (fitting >= needed || IsNearlyPlaceable(step, permitted, fitting)) {
-    AddAdviceRequest(step, std::move(permitted), std::min(needed, fitting), 1);
+    AddAdviceRequest(
+        step, std::move(permitted),
+        {.claimed = static_cast<double>(std::min(needed, fitting)),
+         .capacity = kWantedCapacityShare * static_cast<double>(needed)});
     return;
   }
   if (!IsAdviceSearchDue(step, permitted)) {
@@ -113,15 +112,18 @@
   }
   std::vector<AdviceCandidate> unknown = UnknownCandidates(step);
   const size_t unknown_fitting = CountFittingTasks(unknown);
+  const double capacity = CapacityToSearch(step, permitted);
   const bool needs_permits =
       !permitted.empty() && !HasPermittedCapacity(step, permitted);
   if (needs_permits && !unknown.empty()) {
     // Waiting would not help: even if they were empty, the permitted workers
     // could not run the gang.
-    AddAdviceRequest(step, std::move(unknown), 0, 1);
+    AddAdviceRequest(step, std::move(unknown), {.capacity = capacity});
     plan_.advice_requests.back().has_capacity = true;
   } else if (unknown_fitting > 0 && fitting + unknown_fitting >= needed) {
-    AddAdviceRequest(step, std::move(unknown), needed, 1);
+    AddAdviceRequest(
+        step, std::move(unknown),
+        {.claimed = static_cast<double>(needed), .capacity = capacity});
   } else if (permitted.empty()) {
     RequestEarlyAdvice(step, std::move(unknown));
   } else {
@@ -133,10 +135,22 @@
                                  std::vector<AdviceCandidate> unknown) {
   if (!unknown.empty() && early_requests_ < kMaxEarlyRequests) {
     ++early_requests_;
-    AddAdviceRequest(step, std::move(unknown), 0, 1);
+    AddAdviceRequest(step, std::move(unknown),
+                     {.capacity = CapacityToSearch(step, {})});
   }
 }
 
+// Returns how many tasks of the gang the workers that a search names should be
+// able to run, so that enough of them are likely to be permitted.
+double Planner::CapacityToSearch(
+    const WaitingStep& step,
+    std::span<const AdviceCandidate> permitted) const {
+  const double wanted =
+      kWantedCapacityShare * static_cast<double>(step.spec->count);
+  const auto known = static_cast<double>(PermittedCapacity(step, permitted));
+  return (wanted - known) / advice_.PermittedShare(step.job->queue);
+}
+
 bool Planner::IsNearlyPlaceable(const WaitingStep& step,
                                 std::span<const AdviceCandidate> permitted,
                                 size_t fitting) const {
@@ -207,14 +221,19 @@
 
 bool Planner::HasPermittedCapacity(const WaitingStep& step,
                                    std::span<const AdviceCandidate> permitted) {
+  return static_cast<double>(PermittedCapacity(step, permitted)) >=
+         kPermittedCapacityShare * static_cast<double>(step.spec->count);
+}
+
+size_t Planner::PermittedCapacity(const WaitingStep& step,
+                                  std::span<const AdviceCandidate> permitted) {
   size_t fitting = 0;
   for (const AdviceCandidate& it : permitted) {
     fitting += IsOpenTo(step, *it.worker)
                    ? CountFitting(step, it.worker->info().capacity)
                    : 0;
   }
-  return static_cast<double>(fitting) >=
-         kPermittedCapacityShare * static_cast<double>(step.spec->count);
+  return fitting;
 }
 
 size_t Planner::CountFittingTasks(std::span<const AdviceCandidate> candidates) {
@@ -225,29 +244,58 @@
   return fitting;
 }
 
-// Requests advice on the best candidates and claims capacity for `claimed`
-// tasks on them. Only single tasks of a step that is ready keep their claims
-// from other work until the answer comes: a gang's query takes too long, and a
-// step that isn't ready couldn't use the capacity.
-void Planner::AddAdviceRequest(const WaitingStep& step,
-                               std::vector<AdviceCandidate> candidates,
-                               size_t claimed,
-                               double permitted_share) {
+// Sorts the candidates by their use for the step, the best first, and returns
+// how many of them to name.
+size_t Planner::ChooseWorkersToName(const WaitingStep& step,
+                                    const AdviceGoal& goal,
+                                    std::span<AdviceCandidate> candidates) {
   using Ranked = std::pair<std::pair<bool, PlacementCost>, AdviceCandidate>;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (const AdviceCandidate& it : candidates) {
     ranked.push_back({{it.fitting == 0, CostOf(step, *it.worker)}, it});
   }
-  const size_t named = std::min(ranked.size(), CountWorkersToName(step));
-  std::ranges::partial_sort(ranked, ranked.begin() + static_cast<long>(named),
+  const size_t most_tasks_named =
+      std::clamp(kWorkersPerTask * step.MissingTasks(), kMinWorkersPerRequest,
+                 kMaxWorkersPerRequest);
+  const size_t sorted = step.spec->is_gang
+                            ? ranked.size()
+                            : std::min(ranked.size(), most_tasks_named);
+  std::ranges::partial_sort(ranked, ranked.begin() + static_cast<long>(sorted),
                             {}, &Ranked::first);
-  ranked.resize(named);
-  AdviceRequest request{step.key, step.job->queue, step.queue->advice,
-                        {},       claimed > 0,     {}};
+  std::ranges::copy(ranked | std::views::values, candidates.begin());
+  return step.spec->is_gang ? CountForCapacity(step, goal, candidates) : sorted;
+}
+
+// Returns how many of the first candidates have the capacity that is wanted for
+// the gang.
+size_t Planner::CountForCapacity(const WaitingStep& step,
+                                 const AdviceGoal& goal,
+                                 std::span<const AdviceCandidate> candidates) {
+  double missing = goal.capacity;
+  size_t named = 0;
+  while (named < candidates.size() &&
+         (missing > 0 || named < kMinWorkersPerGangRequest)) {
+    const Resources& capacity = candidates[named].worker->info().capacity;
+    missing -= static_cast<double>(CountFitting(step, capacity));
+    ++named;
+  }
+  return named;
+}
+
+// Requests advice on the best candidates and claims capacity for tasks on them.
+// Only single tasks of a step that is ready keep their claims from other work
+// until the answer comes: a gang's query takes too long, and a step that isn't
+// ready couldn't use the capacity.
+void Planner::AddAdviceRequest(const WaitingStep& step,
+                               std::vector<AdviceCandidate> candidates,
+                               const AdviceGoal& goal) {
+  candidates.resize(ChooseWorkersToName(step, goal, candidates));
+  AdviceRequest request{step.key, step.job->queue,  step.queue->advice,
+                        {},       goal.claimed > 0, {}};
   const bool is_held = step.is_ready && !step.spec->is_gang;
-  double missing = static_cast<double>(claimed) / permitted_share;
-  for (const auto& [cost, it] : ranked) {
+  double missing = goal.claimed;
+  for (const AdviceCandidate& it : candidates) {
     request.candidates.push_back(it.worker->boot());
     CapacityClaim claim{it.worker->boot(), 0, {}};
     for (; claim.tasks < it.fitting && missing > 0; --missing) {
--- a/libs/jobs/test/scheduler_fixture.h
+++ b/libs/jobs/test/scheduler_fixture.h
@@ -4,7 +4,10 @@
 #define JOBS_TEST_SCHEDULER_FIXTURE_H_
 
 #include <chrono>
+#include <limits>
+#include <ranges>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -63,16 +66,23 @@
     scheduler_.OnJob(job, fixture_.table.FindQueue(job.queue), At(accepted_ms));
   }
   void RequireAdvice() { jobs::RequireAdvice(fixture_.table); }
-  // Sends the first request of the plan and permits all workers that it names.
-  void GrantPermits(const Plan& plan, int64_t answered_ms) {
-    const auto assigned =
-        advice_.AssignQueries(plan.advice_requests, kHosts, At(answered_ms));
+  // Sends the first request of the plan and permits the workers that it names,
+  // at most `most` of each of its queries.
+  void GrantPermits(const Plan& plan,
+                    int64_t answered_ms,
+                    size_t most = std::numeric_limits<size_t>::max()) {
+    ASSERT_FALSE(plan.advice_requests.empty());
+    const auto assigned = advice_.AssignQueries(
+        std::span(plan.advice_requests).first(1), kHosts, At(answered_ms));
     ASSERT_FALSE(assigned.empty());
-    std::vector<Permit> permits;
-    for (const wire::WorkerId& worker : assigned[0].query.workers) {
-      permits.push_back({worker, "ticket"});
+    for (const AssignedQuery& it : assigned) {
+      std::vector<Permit> permits;
+      for (const wire::WorkerId& worker :
+           it.query.workers | std::views::take(most)) {
+        permits.push_back({worker, "ticket"});
+      }
+      advice_.OnAnswer(it.query.id, permits, At(answered_ms));
     }
-    advice_.OnAnswer(assigned[0].query.id, permits, At(answered_ms));
   }
   void StartAll(const Plan& plan) {
     for (const StartRun& start : plan.starts) {
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -101,6 +101,57 @@
       << "the tickets expired at 2020 ms";
 }
 
+// Workers that two gangs count on serve one of them, and the other begins to
+// wait anew.
+TEST_F(SchedulerTest, EachWorkerIsReservedForOneGang) {
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    AddWorker(Worker(name));
+    FillWorker(name);
+  }
+  StepSpec gang = Step(1);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("first", {gang});
+  AddJob("second", {gang});
+  const Plan plan = MakePlan(12);
+  EXPECT_EQ(plan.reserved_workers.size(), 2U);
+  EXPECT_EQ(plan.reserved_steps.size(), 2U);
+}
+
+// Workers for some of its tasks would lie idle for nothing.
+TEST_F(SchedulerTest, AGangThatCannotHaveAllItsWorkersReservesNone) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    AddWorker(Worker(name));
+    FillWorker(name);
+  }
+  StepSpec gang = Step(3);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("first", {gang});
+  AddJob("second", {gang});
+  const Plan plan = MakePlan(12);
+  EXPECT_EQ(plan.reserved_workers.size(), 3U);
+  EXPECT_EQ(plan.reserved_steps.size(), 1U);
+}
+
+// Newer gangs of an earlier due time would take its workers one by one.
+TEST_F(SchedulerTest, AGangWithReservedWorkersComesBeforeNewerGangs) {
+  AddWorker(Worker("a"));
+  FillWorker("a");
+  StepSpec gang = Step(1);
+  gang.is_gang = true;
+  gang.need.cpu_milli = 16'000;
+  AddJob("waits", {gang});
+  ASSERT_EQ(MakePlan(1).reserved_steps.size(), 1U);
+  StepSpec quick = gang;
+  quick.estimate_ms = 1;
+  AddJob("newer", {quick}, 2);
+  AddWorker(Worker("b"));
+  const Plan plan = MakePlan(3);
+  ASSERT_EQ(plan.starts.size(), 1U);
+  EXPECT_EQ(plan.starts[0].task.step.job, wire::JobId("waits"));
+}
+
 // Capacity that has been emptied for a gang lies idle while its tickets are
 // renewed.
 TEST_F(SchedulerTest, RenewsTicketsBeforeTheLastTaskOfAGangHasRoom) {
@@ -127,7 +178,7 @@
 
 TEST_F(SchedulerTest, AGangThatCannotFitOnPermittedWorkersAsksAboutOthers) {
   RequireAdvice();
-  for (int n = 0; n < 80; ++n) {
+  for (int n = 0; n < 300; ++n) {
     const std::string name = "w" + std::to_string(n);
     AddWorker(Worker(name));
     FillWorker(name);
@@ -136,7 +187,7 @@
   gang.is_gang = true;
   gang.need.cpu_milli = 16'000;
   AddJob("gang", {gang});
-  GrantPermits(MakePlan(12), 20);
+  GrantPermits(MakePlan(12), 20, 20);
   const Plan plan = MakePlan(30);
   ASSERT_FALSE(plan.advice_requests.empty());
   const AdviceRequest& request = plan.advice_requests.back();
