Advice: the tickets of a gang with reserved workers are renewed before they expire

Cause: a query renewed the tickets that had expired when it was sent.

Change: a query that renews names all tickets that would expire before its answer, of the reserved workers first. A gang with a reservation renews from the moment when it has one, also while a search about it is in flight; no host is used where no ticket is about to expire.

--- a/libs/jobs/include/jobs/advice.h
+++ b/libs/jobs/include/jobs/advice.h
@@ -57,6 +57,8 @@
   AdvicePolicy policy;
   std::vector<WorkerBoot> candidates;
   bool has_capacity = false;  // at least one candidate has free capacity
+  // Tickets that would expire before the answer comes are renewed, too.
+  bool renews_early = false;
   std::vector<CapacityClaim> claims;
 };
 
@@ -123,6 +125,12 @@
 
   // Whether a query about the step is in flight.
   bool HasOpenQuery(const StepKey& step) const;
+  // Whether one of these renews tickets early. Other queries about the step
+  // don't delay one that does.
+  bool HasOpenRenewal(const StepKey& step) const;
+
+  // Whether a query for the request would name any worker.
+  bool NeedsQuery(const AdviceRequest& request, base::Instant now) const;
 
   // Chooses queries for `requests`, which are sorted by urgency, and marks them
   // as in flight. `hosts` are the available hosts; those that are busy or back
@@ -163,6 +171,7 @@
     std::vector<WorkerBoot> workers;
     base::Duration validity{};
     std::vector<CapacityClaim> claims;
+    bool renews_early = false;
   };
 
   static std::vector<WorkerBoot> WorkersToQuery(const AdviceRequest& request,
--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -142,6 +142,14 @@
   return it != steps_.end() && !it->second.open_queries.empty();
 }
 
+bool AdviceTracker::HasOpenRenewal(const StepKey& step) const {
+  const auto it = steps_.find(step);
+  return it != steps_.end() &&
+         std::ranges::any_of(it->second.open_queries, [this](auto id) {
+           return open_queries_.at(id).renews_early;
+         });
+}
+
 std::vector<CapacityClaim> AdviceTracker::ClaimsOf(const StepKey& step) const {
   std::vector<CapacityClaim> claims;
   const auto it = steps_.find(step);
@@ -194,6 +202,13 @@
       hosts, [&](auto& host) { return CanQuery(host, now); }));
 }
 
+bool AdviceTracker::NeedsQuery(const AdviceRequest& request,
+                               base::Instant now) const {
+  const auto it = steps_.find(request.step);
+  return it == steps_.end() ? !request.candidates.empty()
+                            : !WorkersToQuery(request, it->second, now).empty();
+}
+
 std::vector<AssignedQuery> AdviceTracker::AssignQueries(
     std::span<const AdviceRequest> requests,
     std::span<const wire::EntryId> hosts,
@@ -205,8 +220,9 @@
   for (const AdviceRequest& request : requests) {
     const StepAdvice& advice = steps_[request.step];
     const bool is_unneeded = !request.has_capacity && !advice.answered.empty();
-    if (!advice.open_queries.empty() || now < advice.next_query_at ||
-        is_unneeded) {
+    const bool is_busy = request.renews_early ? HasOpenRenewal(request.step)
+                                              : HasOpenQuery(request.step);
+    if (is_busy || now < advice.next_query_at || is_unneeded) {
       continue;
     }
     const auto workers = WorkersToQuery(request, advice, now);
@@ -235,7 +251,8 @@
            request.queue,
            {workers.begin(), workers.end()},
            std::chrono::milliseconds(request.policy.valid_ms),
-           {}};
+           {},
+           request.renews_early};
   std::ranges::copy_if(
       request.claims, std::back_inserter(query.claims), [&](auto& claim) {
         return std::ranges::find(workers, claim.worker) != workers.end();
@@ -247,11 +264,16 @@
 }
 
 // Returns the candidates to name in a query: those never named before, or those
-// that are permitted but whose ticket has expired.
+// that are permitted but whose ticket has expired or soon will.
 std::vector<WorkerBoot> AdviceTracker::WorkersToQuery(
     const AdviceRequest& request,
     const StepAdvice& advice,
     base::Instant now) {
+  const base::Instant needed_until =
+      request.renews_early
+          ? now + ExpectedTime(request.policy, request.candidates.size()) +
+                kTicketMargin
+          : now;
   std::vector<WorkerBoot> fresh;
   std::vector<WorkerBoot> expired;
   for (const WorkerBoot& worker : request.candidates) {
@@ -261,7 +283,7 @@
       continue;
     }
     const auto it = advice.allowed.find(worker.id);
-    if (it != advice.allowed.end() && now >= it->second.valid_until) {
+    if (it != advice.allowed.end() && needed_until >= it->second.valid_until) {
       expired.push_back(worker);
     }
   }
--- a/libs/jobs/src/planner.h
+++ b/libs/jobs/src/planner.h
@@ -193,6 +193,8 @@
                    std::span<const CapacityClaim> claims);
   // Returns why the step has to wait.
   WaitReason RequestAdviceIfNeeded(const WaitingStep& step);
+  // Whether a query about the step is in flight that must end before the next.
+  bool AwaitsAnswer(const WaitingStep& step) const;
   bool CanRequestAdvice(const WaitingStep& step) const;
   void RequestAdvice(const WaitingStep& step);
   // Whether the gang has room for so many of its tasks on permitted workers
@@ -218,6 +220,9 @@
   // Asks where most of the step's tasks are likely to be placed by the answer.
   void RequestTaskAdvice(const WaitingStep& step);
   void RequestGangAdvice(const WaitingStep& step);
+  bool RequestRenewal(const WaitingStep& step,
+                      std::vector<AdviceCandidate> permitted,
+                      size_t fitting);
   // Asks about a step that nothing is known about, without capacity for it.
   void RequestEarlyAdvice(const WaitingStep& step,
                           std::vector<AdviceCandidate> unknown);
--- a/libs/jobs/src/planner_advice.cc
+++ b/libs/jobs/src/planner_advice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 #include "planner.h"
@@ -38,7 +39,7 @@
     return PermittedWorkers(step).empty() ? WaitReason::kNoWorker
                                           : WaitReason::kNoRoom;
   }
-  if (advice_.HasOpenQuery(step.key)) {
+  if (AwaitsAnswer(step)) {
     return WaitReason::kQueryOpen;
   }
   if (!CanRequestAdvice(step)) {
@@ -50,11 +51,18 @@
                                                : WaitReason::kNoQuery;
 }
 
+// A step that workers are kept free for needs its tickets when the last of
+// these is free, whatever else has been asked about it.
+bool Planner::AwaitsAnswer(const WaitingStep& step) const {
+  return step.has_reservation ? advice_.HasOpenRenewal(step.key)
+                              : advice_.HasOpenQuery(step.key);
+}
+
 // Requests that no host could send are skipped, because preparing one costs as
 // much as preparing one that is sent.
 bool Planner::CanRequestAdvice(const WaitingStep& step) const {
   const AdvicePolicy& policy = step.queue->advice;
-  return policy.is_required && !advice_.HasOpenQuery(step.key) &&
+  return policy.is_required && !AwaitsAnswer(step) &&
          plan_.advice_requests.size() + ReservedHostCount(policy) <
              idle_advice_hosts_;
 }
@@ -100,14 +108,15 @@
   std::vector<AdviceCandidate> permitted = PermittedCandidates(step);
   const size_t needed = step.spec->count;
   const size_t fitting = CountFittingTasks(permitted);
-  if (fitting >= needed || IsNearlyPlaceable(step, permitted, fitting)) {
-    AddAdviceRequest(
-        step, std::move(permitted),
-        {.claimed = static_cast<double>(std::min(needed, fitting)),
-         .capacity = kWantedCapacityShare * static_cast<double>(needed)});
-    return;
+  const bool fits = fitting >= needed;
+  if (fits || step.has_reservation ||
+      IsNearlyPlaceable(step, permitted, fitting)) {
+    const bool is_renewing = RequestRenewal(step, permitted, fitting);
+    if (fits || is_renewing || !step.has_reservation) {
+      return;
+    }
   }
-  if (!IsAdviceSearchDue(step, permitted)) {
+  if (advice_.HasOpenQuery(step.key) || !IsAdviceSearchDue(step, permitted)) {
     return;
   }
   std::vector<AdviceCandidate> unknown = UnknownCandidates(step);
@@ -131,6 +140,26 @@
   }
 }
 
+// Renews the tickets of a gang before they expire: all of them must be valid at
+// the moment when its last task has room. Returns whether any must be renewed.
+bool Planner::RequestRenewal(const WaitingStep& step,
+                             std::vector<AdviceCandidate> permitted,
+                             size_t fitting) {
+  const size_t needed = step.spec->count;
+  AddAdviceRequest(
+      step, std::move(permitted),
+      {.claimed = static_cast<double>(std::min(needed, fitting)),
+       .capacity = kWantedCapacityShare * static_cast<double>(needed)});
+  AdviceRequest& request = plan_.advice_requests.back();
+  request.has_capacity = true;
+  request.renews_early = true;
+  const bool is_needed = advice_.NeedsQuery(request, now_);
+  if (!is_needed) {
+    plan_.advice_requests.pop_back();
+  }
+  return is_needed;
+}
+
 void Planner::RequestEarlyAdvice(const WaitingStep& step,
                                  std::vector<AdviceCandidate> unknown) {
   if (!unknown.empty() && early_requests_ < kMaxEarlyRequests) {
@@ -156,7 +185,7 @@
                                 size_t fitting) const {
   const bool has_spare_hosts =
       plan_.advice_requests.size() + kSpareHosts < idle_advice_hosts_;
-  return step.spec->is_gang && has_spare_hosts &&
+  return has_spare_hosts &&
          static_cast<double>(fitting) >=
              kEarlyRenewalShare * static_cast<double>(step.spec->count) &&
          HasPermittedCapacity(step, permitted);
@@ -249,11 +278,14 @@
 size_t Planner::ChooseWorkersToName(const WaitingStep& step,
                                     const AdviceGoal& goal,
                                     std::span<AdviceCandidate> candidates) {
-  using Ranked = std::pair<std::pair<bool, PlacementCost>, AdviceCandidate>;
+  using Ranked =
+      std::pair<std::tuple<bool, bool, PlacementCost>, AdviceCandidate>;
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (const AdviceCandidate& it : candidates) {
-    ranked.push_back({{it.fitting == 0, CostOf(step, *it.worker)}, it});
+    ranked.push_back({{it.fitting == 0, it.worker->was_reserved_for != step.key,
+                       CostOf(step, *it.worker)},
+                      it});
   }
   const size_t most_tasks_named =
       std::clamp(kWorkersPerTask * step.MissingTasks(), kMinWorkersPerRequest,
@@ -291,8 +323,11 @@
                                std::vector<AdviceCandidate> candidates,
                                const AdviceGoal& goal) {
   candidates.resize(ChooseWorkersToName(step, goal, candidates));
-  AdviceRequest request{step.key, step.job->queue,  step.queue->advice,
-                        {},       goal.claimed > 0, {}};
+  AdviceRequest request;
+  request.step = step.key;
+  request.queue = step.job->queue;
+  request.policy = step.queue->advice;
+  request.has_capacity = goal.claimed > 0;
   const bool is_held = step.is_ready && !step.spec->is_gang;
   double missing = goal.claimed;
   for (const AdviceCandidate& it : candidates) {
--- a/libs/jobs/test/advice_test.cc
+++ b/libs/jobs/test/advice_test.cc
@@ -2,6 +2,8 @@
 
 #include "jobs/advice.h"
 
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "table_fixture.h"
@@ -78,6 +80,62 @@
             std::vector<wire::WorkerId>{wire::WorkerId("w1")});
 }
 
+// Tickets of two answers would otherwise never be valid at the same time.
+TEST(AdviceTracker, RenewsTicketsTogetherThatWouldExpireBeforeTheAnswer) {
+  AdviceTracker tracker;
+  std::vector<AdviceRequest> requests = {MakeRequest("a", 800)};
+  const auto query = [&](const std::string& worker, int64_t ms) {
+    requests[0].candidates = {Boot(worker)};
+    const auto assigned = tracker.AssignQueries(requests, MakeHosts(4), At(ms));
+    ASSERT_EQ(assigned.size(), 1U);
+    const std::vector<Permit> permits = {{wire::WorkerId(worker), "t"}};
+    tracker.OnAnswer(assigned[0].query.id, permits, At(ms + 800));
+  };
+  ASSERT_NO_FATAL_FAILURE(query("w0", 0));    // valid until 2600
+  ASSERT_NO_FATAL_FAILURE(query("w1", 900));  // valid until 3500
+  requests[0].candidates = {Boot("w0"), Boot("w1")};
+  requests[0].renews_early = true;
+  EXPECT_FALSE(tracker.NeedsQuery(requests[0], At(1500)));
+  const auto assigned = tracker.AssignQueries(requests, MakeHosts(4), At(2550));
+  ASSERT_EQ(assigned.size(), 1U);
+  EXPECT_EQ(assigned[0].query.workers.size(), 2U);
+}
+
+TEST(AdviceTracker, HostsShareTheWorkersOfALargeRequest) {
+  AdviceTracker tracker;
+  std::vector<AdviceRequest> requests = {MakeRequest("a")};
+  requests[0].candidates.clear();
+  for (int n = 0; n < 150; ++n) {
+    requests[0].candidates.push_back(Boot("w" + std::to_string(n)));
+  }
+  const auto parts = tracker.AssignQueries(requests, MakeHosts(10), At(0));
+  ASSERT_EQ(parts.size(), 3U);
+  std::set<wire::WorkerId> named;
+  for (const AssignedQuery& it : parts) {
+    EXPECT_EQ(it.query.workers.size(), 50U);
+    named.insert(it.query.workers.begin(), it.query.workers.end());
+  }
+  EXPECT_EQ(named.size(), 150U);
+  for (const AssignedQuery& it : parts) {
+    EXPECT_TRUE(tracker.HasOpenQuery(Key("a")));
+    tracker.OnAnswer(it.query.id, {}, At(30));
+  }
+  EXPECT_FALSE(tracker.HasOpenQuery(Key("a")));
+}
+
+// Others would have to wait for the hosts that it takes.
+TEST(AdviceTracker, ALargeRequestIsOneQueryWhereFewHostsAreIdle) {
+  AdviceTracker tracker;
+  std::vector<AdviceRequest> requests = {MakeRequest("a")};
+  requests[0].candidates.clear();
+  for (int n = 0; n < 150; ++n) {
+    requests[0].candidates.push_back(Boot("w" + std::to_string(n)));
+  }
+  const auto assigned = tracker.AssignQueries(requests, MakeHosts(1), At(0));
+  ASSERT_EQ(assigned.size(), 1U);
+  EXPECT_EQ(assigned[0].query.workers.size(), 100U);
+}
+
 // Many jobs arrive at once, and every query occupies a host.
 TEST(AdviceTracker, EachHostHasOneQueryInFlight) {
   AdviceTracker tracker;
