Advice: the parts of a slow request leave the last hosts to quicker queries

Cause: with fewer than eight hosts, a quarter of them is less than the two that slower queries leave to quicker ones, so that several parts of one request could take these. Found by reading; it needs a request of more than 60 workers.

Change: the larger of the two numbers stays idle. A test with four hosts.

--- a/libs/jobs/src/advice.cc
+++ b/libs/jobs/src/advice.cc
@@ -49,9 +49,10 @@
   if (workers == 0 || idle <= reserved) {
     return 0;
   }
-  const auto kept_idle =
+  const auto idle_share =
       static_cast<size_t>(kIdleShareBesideParts * static_cast<double>(hosts));
-  return 1 + (idle > kept_idle + 1 ? idle - kept_idle - 1 : 0);
+  const size_t kept_idle = std::max(idle_share, reserved);
+  return std::max<size_t>(1, idle - std::min(idle, kept_idle));
 }
 
 // Splits the workers into as few and as equal parts as queries should name, at
--- a/libs/jobs/test/advice_test.cc
+++ b/libs/jobs/test/advice_test.cc
@@ -30,6 +30,16 @@
   return request;
 }
 
+// Names 150 workers.
+AdviceRequest MakeLargeRequest(const std::string& job, double decide_ms = 20) {
+  AdviceRequest request = MakeRequest(job, decide_ms);
+  request.candidates.clear();
+  for (int n = 0; n < 150; ++n) {
+    request.candidates.push_back(Boot("w" + std::to_string(n)));
+  }
+  return request;
+}
+
 std::vector<wire::EntryId> MakeHosts(int n) {
   std::vector<wire::EntryId> hosts;
   for (int i = 0; i < n; ++i) {
@@ -103,11 +113,7 @@
 
 TEST(AdviceTracker, HostsShareTheWorkersOfALargeRequest) {
   AdviceTracker tracker;
-  std::vector<AdviceRequest> requests = {MakeRequest("a")};
-  requests[0].candidates.clear();
-  for (int n = 0; n < 150; ++n) {
-    requests[0].candidates.push_back(Boot("w" + std::to_string(n)));
-  }
+  const std::vector<AdviceRequest> requests = {MakeLargeRequest("a")};
   const auto parts = tracker.AssignQueries(requests, MakeHosts(10), At(0));
   ASSERT_EQ(parts.size(), 3U);
   std::set<wire::WorkerId> named;
@@ -123,14 +129,17 @@
   EXPECT_FALSE(tracker.HasOpenQuery(Key("a")));
 }
 
+TEST(AdviceTracker, PartsOfASlowRequestLeaveTheLastHostsToQuickOnes) {
+  AdviceTracker tracker;
+  const std::vector<AdviceRequest> requests = {MakeLargeRequest("a", 500)};
+  const auto parts = tracker.AssignQueries(requests, MakeHosts(4), At(0));
+  EXPECT_EQ(parts.size(), 2U);
+}
+
 // Others would have to wait for the hosts that it takes.
 TEST(AdviceTracker, ALargeRequestIsOneQueryWhereFewHostsAreIdle) {
   AdviceTracker tracker;
-  std::vector<AdviceRequest> requests = {MakeRequest("a")};
-  requests[0].candidates.clear();
-  for (int n = 0; n < 150; ++n) {
-    requests[0].candidates.push_back(Boot("w" + std::to_string(n)));
-  }
+  const std::vector<AdviceRequest> requests = {MakeLargeRequest("a")};
   const auto assigned = tracker.AssignQueries(requests, MakeHosts(1), At(0));
   ASSERT_EQ(assigned.size(), 1U);
   EXPECT_EQ(assigned[0].query.workers.size(), 100U);
