Reservations: only a gang may exceed the limit as the first step

Cause: the first step of a pool could reserve all of it. A gang may need that; single tasks of whole workers start one by one, and a step of many such tasks would have closed the pool to all other work. Found by reading.

A test with six workers.

--- a/libs/jobs/src/planner_reservations.cc
+++ b/libs/jobs/src/planner_reservations.cc
@@ -11,8 +11,8 @@
 namespace sassafras::jobs {
 namespace {
 
-// Of a pool, for all steps but the first together. Workers that become free one
-// after the other lie idle until the last one is free.
+// Of a pool, for all steps together; the first may have more. Workers that
+// become free one after the other lie idle until the last one is free.
 constexpr double kReservableShare = 0.3;
 
 }  // namespace
@@ -67,15 +67,18 @@
   }
 }
 
-// The first step gets all that it needs, or the widest ones would never start.
+// The first gang gets all that it needs, or the widest ones would never start.
+// Tasks that start one by one don't need all at once.
 size_t Planner::CountReservable(const WaitingStep& step) {
   const Pool& pool = PoolOf(step);
   const auto reserved = static_cast<size_t>(std::ranges::count_if(
       pool, [](const Candidate* it) { return it->reserved_for.has_value(); }));
   const auto share =
       static_cast<size_t>(kReservableShare * static_cast<double>(pool.size()));
-  const size_t most = reserved == 0 ? pool.size() : share;
-  return most - std::min(most, reserved);
+  if (reserved == 0) {
+    return step.spec->is_gang ? pool.size() : pool.size() / 2;
+  }
+  return share - std::min(share, reserved);
 }
 
 }  // namespace sassafras::jobs
--- a/libs/jobs/test/scheduler_test.cc
+++ b/libs/jobs/test/scheduler_test.cc
@@ -134,6 +134,18 @@
   EXPECT_EQ(plan.reserved_steps.size(), 1U);
 }
 
+// They start one by one, and other work needs room meanwhile.
+TEST_F(SchedulerTest, SingleTasksOfWholeWorkersLeaveHalfOfThePoolOpen) {
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    AddWorker(Worker(name));
+    FillWorker(name);
+  }
+  StepSpec step = Step(6);
+  step.need.cpu_milli = 16'000;
+  AddJob("j", {step});
+  EXPECT_EQ(MakePlan(12).reserved_workers.size(), 3U);
+}
+
 // Newer gangs of an earlier due time would take its workers one by one.
 TEST_F(SchedulerTest, AGangWithReservedWorkersComesBeforeNewerGangs) {
   AddWorker(Worker("a"));
