Reservations: a gang that can't start leaves half of its pool open

A gang with a limit of tasks a worker counted as fitting on workers where it doesn't, so it reserved too few of them and could never start. And the first gang of a pool could reserve all of it, and then kept its turn.

--- a/libs/jobs/src/planner_reservations.cc
+++ b/libs/jobs/src/planner_reservations.cc
@@ -15,6 +15,13 @@
 // become free one after the other lie idle until the last one is free.
 constexpr double kReservableShare = 0.3;
 
+// Returns how many tasks of the step an empty worker could run.
+size_t CountFittingIfEmpty(const WaitingStep& step, const Candidate& worker) {
+  const size_t fitting = CountFitting(step, worker.info().capacity);
+  const size_t limit = step.spec->max_per_worker;
+  return limit == 0 ? fitting : std::min(fitting, limit);
+}
+
 }  // namespace
 
 void Planner::ReleaseReservation(const WaitingStep& step) {
@@ -44,8 +51,7 @@
   size_t missing = step.UnstartedTasks() - step.placed;
   size_t chosen = 0;
   while (missing > 0 && chosen < permitted.size()) {
-    const Resources& capacity = permitted[chosen]->info().capacity;
-    missing -= std::min(missing, CountFitting(step, capacity));
+    missing -= std::min(missing, CountFittingIfEmpty(step, *permitted[chosen]));
     ++chosen;
   }
   const size_t reservable = CountReservable(step);
@@ -67,18 +73,17 @@
   }
 }
 
-// The first gang gets all that it needs, or the widest ones would never start.
-// Tasks that start one by one don't need all at once.
+// The first step gets more, or the widest gangs would never start, but it
+// leaves half of the pool open: it may be unable to start for a reason not
+// known here.
 size_t Planner::CountReservable(const WaitingStep& step) {
   const Pool& pool = PoolOf(step);
   const auto reserved = static_cast<size_t>(std::ranges::count_if(
       pool, [](const Candidate* it) { return it->reserved_for.has_value(); }));
   const auto share =
       static_cast<size_t>(kReservableShare * static_cast<double>(pool.size()));
-  if (reserved == 0) {
-    return step.spec->is_gang ? pool.size() : pool.size() / 2;
-  }
-  return share - std::min(share, reserved);
+  const size_t most = reserved == 0 ? pool.size() / 2 : share;
+  return most - std::min(most, reserved);
 }
 
 }  // namespace sassafras::jobs
